--- /dev/null
+++ b/crocusmux/core/forward/__init__.py
@@ -0,0 +1,1 @@
+"""Forwarding of packets between callers and upstreams without terminating."""
--- /dev/null
+++ b/crocusmux/core/forward/agent.py
@@ -0,0 +1,452 @@
+"""Decisions of an agent beside one upstream."""
+
+from crocusmux.core.forward import heartbeats
+from crocusmux.core.forward import outputs
+from crocusmux.core.forward import progress
+from crocusmux.core.forward import reports
+from crocusmux.core.forward import segments
+from crocusmux.core.forward import upstreams
+
+TICK_S = 0.05
+REPORT_S = 0.25
+# With many balancers reports are rarer, so that an agent sends at most so
+# many a second.
+REPORTS_PER_S = 60
+SUBSCRIPTION_S = 10.0
+EXPIRE_S = 1.0
+# A SYN is answered within a millisecond on the same host.  Without any
+# packet of the upstream for this time after a SYN it counts as silent.
+SILENT_S = 0.1
+# A silent upstream counts as dead after this time, seconds.
+DEAD_S = 0.5
+# Flows are kept for this long without a segment, seconds; above the idle
+# time after which either end may forget them.
+FLOW_IDLE_S = 20.0
+MAX_FLOWS = 20_000
+# New flows are declined while so many requests wait for each slot.
+WAITING_A_SLOT = 4
+
+Outputs = list[outputs.Output]
+Address = tuple[str, int]
+
+
+class Flow:
+    """A flow at an agent.
+
+    Attributes:
+        balancer: Address of the balancer that sent its last segment.
+        start: Sequence number of the upstream's SYN+ACK; None before.
+        open: True once the caller has acknowledged it here.
+        probing: True if it is not known whether the upstream holds it.
+        closing: True once either end has closed or reset it.
+        ack: The caller's last acknowledgement.
+        sent: End of the caller's newest data; None before the first.
+        began_at: Time of the request in progress, seconds; 0 if none.
+        waited: True if that request found no free slot.
+        seen_at: Time of the last segment, seconds.
+    """
+
+    __slots__ = (
+        "ack",
+        "balancer",
+        "began_at",
+        "closing",
+        "open",
+        "probing",
+        "seen_at",
+        "sent",
+        "start",
+        "waited",
+    )
+
+    def __init__(self, now: float, balancer: Address) -> None:
+        self.balancer = balancer
+        self.start: int | None = None
+        self.open = False
+        self.probing = False
+        self.closing = False
+        self.ack = 0
+        self.sent: int | None = None
+        self.began_at = 0.0
+        self.waited = False
+        self.seen_at = now
+
+
+class _Subscriber:
+    __slots__ = ("address", "offers", "until")
+
+    def __init__(self, address: Address) -> None:
+        self.address = address
+        self.offers = 0
+        self.until = 0.0
+
+
+class AgentCore:
+    """One upstream, its flows, and the balancers that want reports.
+
+    Attributes:
+        life: The upstream's heartbeats.
+        load: Its requests in progress.
+        leaving: True while the agent itself stops.
+    """
+
+    def __init__(
+        self, host: str, service: str, boot: int, interval_s: float
+    ) -> None:
+        """Prepares an agent that knows nothing of its upstream.
+
+        Args:
+            host: Name of its host.
+            service: Service of its upstream.
+            boot: Random number that tells this start from others.
+            interval_s: Interval of the upstream's heartbeats, seconds.
+        """
+        self.life = heartbeats.Lifecycle(interval_s)
+        self.load = progress.Progress()
+        self.leaving = False
+        self._host = host
+        self._service = service
+        self._tag = upstreams.service_tag(service)
+        self._boot = boot
+        self._sequence = 0
+        self._flows: dict[bytes, Flow] = {}
+        self._subscribers: dict[str, _Subscriber] = {}
+        self._unanswered_at: float | None = None
+        self._silent_at: float | None = None
+        self._report_at = 0.0
+        self._expire_at = 0.0
+        self._newest = (0, "")
+        self._accepting = False
+
+    # Segments of callers
+
+    def on_caller_segment(
+        self, now: float, seg: segments.Segment, balancer: Address
+    ) -> Outputs:
+        """Delivers a segment that a balancer sent, or answers why not."""
+        if seg.opening:
+            return self._on_opening(now, seg, balancer)
+        flow = self._flows.get(seg.key)
+        if flow is None:
+            return self._on_unknown(now, seg, balancer)
+        flow.seen_at = now
+        flow.balancer = balancer
+        if not flow.open and not flow.probing:
+            if not self._opens(seg, flow):
+                return [self._not_held(seg.key, balancer)]
+            flow.open = True
+        flow.ack = seg.ack
+        self._note_request(now, seg, flow)
+        sent: Outputs = [outputs.ToUpstream(seg)]
+        if seg.mark == segments.MARK_ASKING and flow.open:
+            held = reports.Held(self._host, seg.key)
+            sent.append(outputs.ToPeer(balancer, held))
+        return sent
+
+    def _on_opening(
+        self, now: float, seg: segments.Segment, balancer: Address
+    ) -> Outputs:
+        reason = self._refusal(now, seg)
+        flow = self._flows.get(seg.key)
+        if reason and flow is None:
+            return [self._declined(seg.key, balancer, reason)]
+        if flow is None:
+            subscriber = self._subscribers.get(balancer[0])
+            if subscriber is not None:
+                subscriber.offers += 1
+            flow = self._add(now, seg.key, balancer)
+        flow.seen_at = now
+        if self._unanswered_at is None:
+            self._unanswered_at = now
+        return [outputs.ToUpstream(seg)]
+
+    def _refusal(self, now: float, seg: segments.Segment) -> str:
+        """Returns why a new flow is declined; empty if it is taken."""
+        if seg.service_tag != self._tag:
+            return reports.DECLINED_OTHER_SERVICE
+        if self.leaving or self.life.draining():
+            return reports.DECLINED_LEAVING
+        if self.life.current is None:
+            return reports.DECLINED_UNKNOWN_STATE
+        if self._silent_at is not None or self.life.overdue(now):
+            return reports.DECLINED_SILENT
+        slots = self.life.current.slots
+        if self.load.in_progress >= slots * (1 + WAITING_A_SLOT):
+            return reports.DECLINED_OVERLOAD
+        return ""
+
+    def _on_unknown(
+        self, now: float, seg: segments.Segment, balancer: Address
+    ) -> Outputs:
+        """Lets the upstream say whether it holds the flow.
+
+        This agent may have restarted since the flow was opened.
+        """
+        if seg.service_tag != self._tag:
+            return [self._not_held(seg.key, balancer)]
+        flow = self._add(now, seg.key, balancer)
+        flow.probing = True
+        flow.ack = seg.ack
+        return [outputs.ToUpstream(seg)]
+
+    def _opens(self, seg: segments.Segment, flow: Flow) -> bool:
+        if flow.start is None:
+            return False
+        return segments.answers_opening(seg.ack, flow.start)
+
+    def _add(self, now: float, key: bytes, balancer: Address) -> Flow:
+        if len(self._flows) >= MAX_FLOWS:
+            del self._flows[next(iter(self._flows))]
+        flow = Flow(now, balancer)
+        self._flows[key] = flow
+        return flow
+
+    def _note_request(
+        self, now: float, seg: segments.Segment, flow: Flow
+    ) -> None:
+        if seg.final or seg.reset:
+            flow.closing = True
+        if seg.reset:
+            self._end_request(now, flow, answered=False)
+        if seg.length == 0:
+            return
+        end = (seg.seq + seg.length) % segments.SEQUENCE_MODULUS
+        if flow.sent is not None:
+            ahead = (end - flow.sent) % segments.SEQUENCE_MODULUS
+            if ahead == 0 or ahead > segments.SEQUENCE_MODULUS // 2:
+                return
+        flow.sent = end
+        if flow.began_at:
+            return
+        flow.began_at = now
+        beat = self.life.current
+        slots = beat.slots if beat else 1
+        flow.waited = self.load.in_progress >= slots
+        self.load.begin(now)
+
+    def _end_request(self, now: float, flow: Flow, answered: bool) -> None:
+        if not flow.began_at:
+            return
+        self.load.end(now, flow.began_at, flow.waited, answered)
+        flow.began_at = 0.0
+
+    # Segments of the upstream
+
+    def on_upstream_segment(self, now: float, seg: segments.Segment) -> Outputs:
+        """Passes a segment of the upstream on, or handles one it returned."""
+        self._unanswered_at = None
+        sent = self._on_answering(now)
+        flow = self._flows.get(seg.key)
+        if seg.returned:
+            return sent + self._on_returned(now, seg, flow)
+        if flow is None:
+            # This agent restarted, and the upstream still holds the flow.
+            flow = self._add(now, seg.key, ("", 0))
+            flow.open = not seg.opening
+        flow.seen_at = now
+        if flow.probing:
+            flow.probing = False
+            flow.open = True
+            if flow.balancer[0]:
+                held = reports.Held(self._host, seg.key)
+                sent.append(outputs.ToPeer(flow.balancer, held))
+        if seg.opening:
+            flow.start = seg.seq
+        if seg.length:
+            self._end_request(now, flow, answered=True)
+        if seg.final or seg.reset:
+            flow.closing = True
+            self._end_request(now, flow, answered=False)
+        sent.append(outputs.ToCaller(seg))
+        return sent
+
+    def _on_returned(
+        self, now: float, seg: segments.Segment, flow: Flow | None
+    ) -> Outputs:
+        if flow is None:
+            return []
+        del self._flows[seg.key]
+        self._end_request(now, flow, answered=False)
+        if seg.opening:
+            reason = reports.DECLINED_BY_UPSTREAM
+            return [self._declined(seg.key, flow.balancer, reason)]
+        if not flow.open:
+            return [self._not_held(seg.key, flow.balancer)]
+        if flow.closing or seg.length == 0:
+            return []
+        return self._reset(seg.key, flow, "returned-by-upstream")
+
+    def _reset(self, key: bytes, flow: Flow, reason: str) -> Outputs:
+        detail = f"reason={reason} ack={flow.ack}"
+        return [
+            outputs.Event("flow-lost", key, detail, True),
+            outputs.Reset(key, flow.ack),
+        ]
+
+    # The upstream's life
+
+    def on_heartbeat(self, now: float, beat: heartbeats.Heartbeat) -> Outputs:
+        """Takes a heartbeat; ``life`` tells whether it was current."""
+        before = self.life.current
+        if not self.life.on_heartbeat(now, beat):
+            detail = f"upstream={beat.upstream} sequence={beat.sequence}"
+            return [outputs.Event("heartbeat-late", b"", detail, True)]
+        sent = self._on_answering(now)
+        if before is None or before.born_ms != beat.born_ms:
+            detail = (
+                f"upstream={beat.upstream} born={beat.born_ms}"
+                f" slots={beat.slots} draining={beat.draining}"
+            )
+            sent.append(outputs.Event("upstream-started", b"", detail, True))
+        return sent + self._report_change(now)
+
+    def on_leave(self, now: float, upstream: str) -> Outputs:
+        """Takes the upstream's word that it ends."""
+        beat = self.life.current
+        if beat is not None and beat.upstream != upstream:
+            return []
+        self.life.gone = True
+        detail = f"upstream={upstream}"
+        sent: Outputs = [outputs.Event("upstream-left", b"", detail, True)]
+        return sent + self._report_change(now)
+
+    def stop(self, now: float) -> Outputs:
+        """Takes no new flows any more, as the agent stops."""
+        self.leaving = True
+        return self._report_change(now)
+
+    def _on_answering(self, now: float) -> Outputs:
+        if self._silent_at is None:
+            return []
+        silent = now - self._silent_at
+        self._silent_at = None
+        self._unanswered_at = None
+        detail = f"after={silent:.2f}"
+        sent: Outputs = [outputs.Event("upstream-answers", b"", detail, True)]
+        return sent + self._report_change(now)
+
+    # Messages and time
+
+    def on_subscribe(self, now: float, message: reports.Subscribe) -> Outputs:
+        """Starts or renews the reports to a balancer."""
+        if message.config_version > self._newest[0]:
+            self._newest = (message.config_version, message.config_source)
+        ip = message.address[0]
+        subscriber = self._subscribers.get(ip)
+        if subscriber is not None:
+            subscriber.until = now + SUBSCRIPTION_S
+            return []
+        subscriber = _Subscriber(message.address)
+        subscriber.until = now + SUBSCRIPTION_S
+        self._subscribers[ip] = subscriber
+        return [self._report(now, subscriber)]
+
+    def on_timer(self, now: float) -> Outputs:
+        """Does what is due; call it every ``TICK_S``."""
+        sent = self._check_silence(now)
+        if now >= self._report_at:
+            interval = len(self._subscribers) / REPORTS_PER_S
+            self._report_at = now + max(REPORT_S, interval)
+            sent += self._report_all(now)
+        if now >= self._expire_at:
+            self._expire_at = now + EXPIRE_S
+            self._expire(now)
+        return sent
+
+    def _check_silence(self, now: float) -> Outputs:
+        sent: Outputs = []
+        since = self._unanswered_at
+        if (
+            self._silent_at is None
+            and since is not None
+            and now - since >= SILENT_S
+        ):
+            self._silent_at = now
+            detail = f"unanswered_s={now - since:.2f}"
+            sent.append(outputs.Event("upstream-silent", b"", detail, True))
+            sent += self._decline_pending()
+            sent += self._report_change(now)
+        if self._silent_at is not None and now - self._silent_at >= DEAD_S:
+            sent += self._reset_all(now)
+        return sent
+
+    def _decline_pending(self) -> Outputs:
+        reason = reports.DECLINED_SILENT
+        sent: Outputs = []
+        for key, flow in list(self._flows.items()):
+            if flow.start is None and not flow.open and not flow.probing:
+                del self._flows[key]
+                sent.append(self._declined(key, flow.balancer, reason))
+        return sent
+
+    def _reset_all(self, now: float) -> Outputs:
+        """Resets the flows of an upstream that is dead."""
+        sent: Outputs = []
+        for key, flow in list(self._flows.items()):
+            del self._flows[key]
+            self._end_request(now, flow, answered=False)
+            if flow.open and not flow.closing:
+                sent += self._reset(key, flow, "upstream-dead")
+        return sent
+
+    def _expire(self, now: float) -> None:
+        for key, flow in list(self._flows.items()):
+            if flow.began_at and now - flow.began_at > progress.ABANDONED_S:
+                self._end_request(now, flow, answered=False)
+            if now - flow.seen_at > FLOW_IDLE_S:
+                self._end_request(now, flow, answered=False)
+                del self._flows[key]
+        for ip, subscriber in list(self._subscribers.items()):
+            if subscriber.until < now:
+                del self._subscribers[ip]
+
+    # Reports
+
+    def accepting(self, now: float) -> bool:
+        """Returns True if new flows are taken at this load."""
+        return (
+            not self.leaving
+            and not self.life.draining()
+            and self.life.current is not None
+            and self._silent_at is None
+            and not self.life.overdue(now)
+        )
+
+    def _report_change(self, now: float) -> Outputs:
+        if self.accepting(now) == self._accepting:
+            return []
+        return self._report_all(now)
+
+    def _report_all(self, now: float) -> Outputs:
+        self._accepting = self.accepting(now)
+        found = self._subscribers.values()
+        return [self._report(now, subscriber) for subscriber in found]
+
+    def _report(self, now: float, to: _Subscriber) -> outputs.ToPeer:
+        self._sequence += 1
+        beat = self.life.current
+        version, source = self._newest
+        report = reports.LoadReport(
+            host=self._host,
+            service=self._service,
+            boot=self._boot,
+            sequence=self._sequence,
+            accepting=self.accepting(now),
+            slots=beat.slots if beat else 1,
+            in_progress=round(self.load.mean(now), 2),
+            flows=len(self._flows),
+            service_ms=round(self.load.service_ms, 1),
+            offers=to.offers,
+            config_version=version,
+            config_source=source,
+        )
+        return outputs.ToPeer(to.address, report)
+
+    def _declined(
+        self, key: bytes, balancer: Address, reason: str
+    ) -> outputs.ToPeer:
+        message = reports.Declined(self._host, key, reason)
+        return outputs.ToPeer(balancer, message)
+
+    def _not_held(self, key: bytes, balancer: Address) -> outputs.ToPeer:
+        return outputs.ToPeer(balancer, reports.NotHeld(self._host, key))
--- /dev/null
+++ b/crocusmux/core/forward/balancer.py
@@ -0,0 +1,410 @@
+"""Decisions of a balancer that passes segments on."""
+
+import random
+
+from crocusmux.core.forward import flows
+from crocusmux.core.forward import outputs
+from crocusmux.core.forward import reports
+from crocusmux.core.forward import routes
+from crocusmux.core.forward import segments
+from crocusmux.core.forward import selection
+from crocusmux.core.forward import upstreams
+
+TICK_S = 0.1
+# Agents are asked for reports so often, seconds; they report for 10 s.
+SUBSCRIBE_S = 2.0
+EXPIRE_S = 1.0
+# A flow is kept for this long beyond its idle time, seconds.
+IDLE_SLACK_S = 5.0
+# An opening without SYN+ACK is offered to another upstream after this time,
+# when the caller repeats it, seconds.
+UNANSWERED_S = 0.15
+# A new flow that no upstream takes waits for one so long at most, seconds.
+# The caller repeats its SYN after 0.2 s and 0.6 s and gives up after 1.4 s.
+WAIT_S = 0.7
+# Upstreams to which one new flow is offered at most.
+MAX_OFFERS = 4
+# Agents asked at once for an unknown flow.
+ASKED_AT_ONCE = 8
+
+Outputs = list[outputs.Output]
+
+
+class BalancerCore:
+    """Routes, upstreams and flows of one balancer.
+
+    Attributes:
+        routes: The configuration in force.
+        directory: The agents.
+        flows: The flows that it knows.
+        newest: Newest configuration version that any daemon named, and
+            where it is served.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        failure_domain: str,
+        address: tuple[str, int],
+        config_source: str,
+        rng: random.Random,
+    ) -> None:
+        """Prepares a balancer without routes and agents.
+
+        Args:
+            host: Name of its host.
+            failure_domain: Failure domain of its host.
+            address: Address for messages of agents.
+            config_source: Address at which it serves its configuration.
+            rng: Random numbers.
+        """
+        self.routes = routes.RouteTable()
+        self.directory = upstreams.Directory()
+        self.flows = flows.FlowTable()
+        self.newest = (0, "")
+        self._host = host
+        self._failure_domain = failure_domain
+        self._address = address
+        self._config_source = config_source
+        self._rng = rng
+        self._waiting: dict[bytes, flows.Flow] = {}
+        self._subscribe_at = 0.0
+        self._expire_at = 0.0
+
+    # Configuration and agents
+
+    def configure(self, cfg: routes.Configuration) -> Outputs:
+        """Takes a configuration if it is newer than the one in force."""
+        before = self.routes.version
+        if not self.routes.offer(cfg):
+            return []
+        detail = f"version={cfg.version} before={before}"
+        return [
+            outputs.Event(
+                "configure", b"", f"{detail} routes={len(cfg.routes)}", True
+            )
+        ]
+
+    def add_agent(self, now: float, record: upstreams.Record) -> Outputs:
+        """Adds an agent or replaces its record, and asks it for reports."""
+        if not self.directory.put(record):
+            return []
+        detail = f"agent={record.host} service={record.service}"
+        return [
+            outputs.Event("agent-added", b"", detail, True),
+            outputs.ToPeer(record.control, self._subscription()),
+        ]
+
+    def remove_agent(self, host: str) -> Outputs:
+        """Forgets an agent."""
+        if not self.directory.remove(host):
+            return []
+        return [outputs.Event("agent-removed", b"", f"agent={host}", True)]
+
+    def ready(self) -> bool:
+        """Returns True if new flows can be placed."""
+        if self.routes.version == 0:
+            return False
+        agents = self.directory.all()
+        return not agents or any(one.report is not None for one in agents)
+
+    # Segments
+
+    def on_segment(self, now: float, seg: segments.Segment) -> Outputs:
+        """Passes a caller's segment on."""
+        flow = self.flows.get(seg.key)
+        if flow is not None:
+            flow.seen_at = now
+        if seg.opening and (flow is None or not flow.open):
+            return self._on_opening(now, seg, flow)
+        if flow is None:
+            return self._on_unknown(now, seg)
+        flow.open = True
+        flow.ack = seg.ack
+        flow.data_sent = seg.length > 0
+        if flow.holder:
+            return self._to_holder(seg, flow)
+        if flow.offered:
+            return self._to_offered(now, seg, flow)
+        return self._ask(now, seg, flow)
+
+    def _on_opening(
+        self, now: float, seg: segments.Segment, flow: flows.Flow | None
+    ) -> Outputs:
+        if flow is None:
+            return self._on_new(now, seg)
+        if flow.opening is None:
+            flow.opening = seg
+        if not flow.offered or now - flow.offered_at >= UNANSWERED_S:
+            return self._on_unanswered(now, seg, flow)
+        upstream = self.directory.get(flow.offered[-1])
+        return [_offer(seg, upstream)] if upstream else []
+
+    def _on_new(self, now: float, seg: segments.Segment) -> Outputs:
+        if self.routes.version == 0:
+            return []
+        route = self.routes.find(seg.key)
+        if route is None:
+            return self._refuse(seg.key, "no-route")
+        flow = self.flows.add(now, seg.key)
+        flow.service = route.service_of(self._rng.random())
+        flow.opening = seg
+        return self._place(now, seg, flow)
+
+    def _on_unanswered(
+        self, now: float, seg: segments.Segment, flow: flows.Flow
+    ) -> Outputs:
+        """Offers a repeated opening to another upstream."""
+        for host in flow.offered[-1:]:
+            upstream = self.directory.get(host)
+            if upstream is not None:
+                upstream.paused_until = now + upstreams.UNANSWERED_PAUSE_S
+        return self._place(now, seg, flow)
+
+    def _place(
+        self, now: float, seg: segments.Segment, flow: flows.Flow
+    ) -> Outputs:
+        tried = {*flow.offered, *flow.declined}
+        candidates = [
+            one
+            for one in self.directory.of((flow.service,))
+            if one.record.host not in tried
+        ]
+        chosen = None
+        if len(tried) < MAX_OFFERS:
+            chosen = selection.choose(
+                now, candidates, self._failure_domain, self._rng
+            )
+        if chosen is None:
+            return self._on_no_upstream(now, seg, flow)
+        self._waiting.pop(seg.key, None)
+        flow.offered.append(chosen.record.host)
+        flow.offered_at = now
+        chosen.offered += 1
+        return [_offer(seg, chosen), self._placed(now, seg.key, chosen, flow)]
+
+    def _on_no_upstream(
+        self, now: float, seg: segments.Segment, flow: flows.Flow
+    ) -> Outputs:
+        if flow.offered:
+            # An upstream may still answer; the caller repeats its SYN.
+            upstream = self.directory.get(flow.offered[-1])
+            return [_offer(seg, upstream)] if upstream else []
+        if now - flow.opened_at < WAIT_S and not flow.declined:
+            self._waiting[seg.key] = flow
+            return []
+        self.flows.remove(seg.key)
+        self._waiting.pop(seg.key, None)
+        return self._refuse(seg.key, "no-upstream-takes-it", flow)
+
+    def _on_unknown(self, now: float, seg: segments.Segment) -> Outputs:
+        if seg.reset or self.routes.version == 0:
+            return []
+        route = self.routes.find(seg.key)
+        if route is None:
+            return [outputs.Reset(seg.key, seg.ack)]
+        flow = self.flows.add(now, seg.key)
+        flow.open = True
+        flow.ack = seg.ack
+        return self._ask(now, seg, flow)
+
+    def _to_holder(self, seg: segments.Segment, flow: flows.Flow) -> Outputs:
+        upstream = self.directory.get(flow.holder)
+        if upstream is None:
+            flow.holder = ""
+            return []
+        address = upstream.record.address
+        return [
+            outputs.ToAgent(address, seg, upstream.tag, segments.MARK_DIRECT)
+        ]
+
+    def _to_offered(
+        self, now: float, seg: segments.Segment, flow: flows.Flow
+    ) -> Outputs:
+        """Sends the first segment after the opening to whom it was offered."""
+        if len(flow.offered) == 1:
+            flow.holder = flow.offered[0]
+            flow.opening = None
+            return self._to_holder(seg, flow)
+        known = [self.directory.get(host) for host in flow.offered]
+        return self._ask_agents(now, seg, flow, [x for x in known if x])
+
+    def _ask(
+        self, now: float, seg: segments.Segment, flow: flows.Flow
+    ) -> Outputs:
+        """Sends a segment to all agents that may hold its flow."""
+        route = self.routes.find(seg.key)
+        if route is None:
+            return [outputs.Reset(seg.key, seg.ack)]
+        agents = self.directory.of(route.services())
+        left = [x for x in agents if x.record.host not in flow.denied]
+        if len(left) > ASKED_AT_ONCE:
+            left = upstreams.ranked(seg.key, left)[:ASKED_AT_ONCE]
+        return self._ask_agents(now, seg, flow, left)
+
+    def _ask_agents(
+        self,
+        now: float,
+        seg: segments.Segment,
+        flow: flows.Flow,
+        agents: list[upstreams.Upstream],
+    ) -> Outputs:
+        first = not flow.asked
+        flow.last = seg
+        flow.asked.update(one.record.host for one in agents)
+        sent: Outputs = [
+            outputs.ToAgent(
+                one.record.address, seg, one.tag, segments.MARK_ASKING
+            )
+            for one in agents
+        ]
+        if first:
+            detail = f"agents={len(agents)} config={self.routes.version}"
+            sent.append(outputs.Event("ask", seg.key, detail))
+        return sent
+
+    # Messages
+
+    def on_message(self, now: float, message: reports.Message) -> Outputs:
+        """Takes a message of an agent or of another balancer."""
+        if isinstance(message, reports.LoadReport):
+            return self._on_report(now, message)
+        if isinstance(message, reports.Declined):
+            return self._on_declined(now, message)
+        if isinstance(message, reports.Held):
+            return self._on_held(message)
+        if isinstance(message, reports.NotHeld):
+            return self._on_not_held(now, message)
+        return []
+
+    def _on_report(self, now: float, report: reports.LoadReport) -> Outputs:
+        if report.config_version > self.newest[0]:
+            self.newest = (report.config_version, report.config_source)
+        known = self.directory.get(report.host)
+        before = known.accepts(now) if known else False
+        if not self.directory.on_report(now, report):
+            return []
+        if known is not None and known.accepts(now) == before:
+            return []
+        detail = f"agent={report.host} accepting={report.accepting}"
+        sent: Outputs = [outputs.Event("agent-state", b"", detail, True)]
+        if report.accepting:
+            sent += self._place_waiting(now)
+        return sent
+
+    def _place_waiting(self, now: float) -> Outputs:
+        sent: Outputs = []
+        for flow in list(self._waiting.values()):
+            if flow.opening is not None:
+                sent += self._place(now, flow.opening, flow)
+        return sent
+
+    def _on_declined(self, now: float, message: reports.Declined) -> Outputs:
+        flow = self.flows.get(message.key)
+        detail = f"agent={message.host} reason={message.reason}"
+        if flow is None or flow.open or message.host not in flow.offered:
+            return []
+        flow.offered.remove(message.host)
+        flow.declined.add(message.host)
+        sent: Outputs = [outputs.Event("declined", message.key, detail)]
+        if flow.opening is None:
+            return sent
+        return sent + self._place(now, flow.opening, flow)
+
+    def _on_held(self, message: reports.Held) -> Outputs:
+        flow = self.flows.get(message.key)
+        if flow is None:
+            return []
+        flow.holder = message.host
+        flow.last = flow.opening = None
+        flow.denied.clear()
+        detail = f"agent={message.host}"
+        return [outputs.Event("held", message.key, detail)]
+
+    def _on_not_held(self, now: float, message: reports.NotHeld) -> Outputs:
+        flow = self.flows.get(message.key)
+        if flow is None:
+            return []
+        if flow.holder == message.host:
+            # The upstream that had the flow has lost it; it is nowhere else.
+            self.flows.remove(message.key)
+            if not flow.data_sent:
+                # A late acknowledgement of a flow that has ended.
+                return []
+            detail = f"agent={message.host} ack={flow.ack}"
+            return [
+                outputs.Event("flow-lost", message.key, detail, True),
+                outputs.Reset(message.key, flow.ack),
+            ]
+        flow.denied.add(message.host)
+        return []
+
+    # Time
+
+    def on_timer(self, now: float) -> Outputs:
+        """Does what is due; call it every ``TICK_S``."""
+        sent: Outputs = []
+        if now >= self._subscribe_at:
+            self._subscribe_at = now + SUBSCRIBE_S
+            sent += self._subscribe()
+        if now >= self._expire_at:
+            self._expire_at = now + EXPIRE_S
+            idle = self.routes.idle_s + IDLE_SLACK_S
+            self.flows.expire(now - idle)
+        for key, flow in list(self._waiting.items()):
+            if now - flow.opened_at >= WAIT_S:
+                del self._waiting[key]
+                self.flows.remove(key)
+                sent += self._refuse(key, "no-upstream-in-time", flow)
+        return sent
+
+    def _subscribe(self) -> Outputs:
+        message = self._subscription()
+        agents = self.directory.all()
+        return [outputs.ToPeer(x.record.control, message) for x in agents]
+
+    def _subscription(self) -> reports.Subscribe:
+        return reports.Subscribe(
+            self._host,
+            self._address,
+            self.routes.version,
+            self._config_source,
+        )
+
+    # Log and refusals
+
+    def _placed(
+        self,
+        now: float,
+        key: bytes,
+        chosen: upstreams.Upstream,
+        flow: flows.Flow,
+    ) -> outputs.Event:
+        report = chosen.report
+        load = report.in_progress if report else 0.0
+        detail = (
+            f"agent={chosen.record.host} service={flow.service}"
+            f" load={load:.1f} unreported={chosen.unreported()}"
+            f" report_age={chosen.silent_s(now):.2f}"
+            f" config={self.routes.version} tried={len(flow.offered)}"
+        )
+        return outputs.Event("place", key, detail)
+
+    def _refuse(
+        self, key: bytes, reason: str, flow: flows.Flow | None = None
+    ) -> Outputs:
+        detail = f"reason={reason} config={self.routes.version}"
+        if flow is not None:
+            detail += f" service={flow.service} declined={len(flow.declined)}"
+        return [
+            outputs.Event("refuse", key, detail, True),
+            outputs.Reset(key, 0),
+        ]
+
+
+def _offer(
+    seg: segments.Segment, upstream: upstreams.Upstream
+) -> outputs.ToAgent:
+    return outputs.ToAgent(
+        upstream.record.address, seg, upstream.tag, segments.MARK_DIRECT
+    )
--- /dev/null
+++ b/crocusmux/core/forward/flows.py
@@ -0,0 +1,96 @@
+"""Flows as a balancer knows them."""
+
+from crocusmux.core.forward import segments
+
+# Flows that a balancer remembers; the oldest leave first.  An entry takes
+# about 500 bytes, so a full table takes 50 MB.
+MAX_FLOWS = 100_000
+
+
+class Flow:
+    """One flow at a balancer.
+
+    Attributes:
+        service: Service that it was opened for; empty if it was looked up.
+        holder: Host of the agent that holds it; empty if not known.
+        offered: Hosts that got its opening and did not decline, in order.
+        declined: Hosts that declined it.
+        asked: Hosts that were asked whether they hold it.
+        denied: Hosts that answered that they do not.
+        opening: The caller's SYN while the flow is not open.
+        last: The newest segment while the holder is not known.
+        ack: The caller's last acknowledgement.
+        opened_at: Time of its first segment here, seconds.
+        offered_at: Time of its last offer, seconds.
+        seen_at: Time of its last segment, seconds.
+        data_sent: True if the caller's last segment carried data.
+        open: True once the caller has sent more than openings.
+    """
+
+    __slots__ = (
+        "ack",
+        "asked",
+        "data_sent",
+        "declined",
+        "denied",
+        "holder",
+        "last",
+        "offered",
+        "offered_at",
+        "open",
+        "opened_at",
+        "opening",
+        "seen_at",
+        "service",
+    )
+
+    def __init__(self, now: float) -> None:
+        self.service = ""
+        self.holder = ""
+        self.offered: list[str] = []
+        self.declined: set[str] = set()
+        self.asked: set[str] = set()
+        self.denied: set[str] = set()
+        self.opening: segments.Segment | None = None
+        self.last: segments.Segment | None = None
+        self.ack = 0
+        self.opened_at = now
+        self.offered_at = now
+        self.seen_at = now
+        self.data_sent = False
+        self.open = False
+
+
+class FlowTable:
+    """Flows of a balancer by key, the least recently added first."""
+
+    __slots__ = ("_flows",)
+
+    def __init__(self) -> None:
+        self._flows: dict[bytes, Flow] = {}
+
+    def __len__(self) -> int:
+        return len(self._flows)
+
+    def get(self, key: bytes) -> Flow | None:
+        """Returns a flow; None if it is not known."""
+        return self._flows.get(key)
+
+    def add(self, now: float, key: bytes) -> Flow:
+        """Returns a new flow; a full table forgets its oldest one."""
+        if len(self._flows) >= MAX_FLOWS:
+            del self._flows[next(iter(self._flows))]
+        flow = Flow(now)
+        self._flows[key] = flow
+        return flow
+
+    def remove(self, key: bytes) -> None:
+        """Forgets a flow."""
+        self._flows.pop(key, None)
+
+    def expire(self, before: float) -> int:
+        """Forgets flows without a segment since a time; returns how many."""
+        old = [k for k, flow in self._flows.items() if flow.seen_at < before]
+        for key in old:
+            del self._flows[key]
+        return len(old)
--- /dev/null
+++ b/crocusmux/core/forward/reports.py
@@ -0,0 +1,92 @@
+"""Messages between balancers and agents, beside the segments themselves."""
+
+import msgspec
+
+
+class Subscribe(msgspec.Struct, frozen=True, tag="s", array_like=True):
+    """A balancer asks an agent for load reports.
+
+    Attributes:
+        balancer: Host name of the balancer.
+        address: Address of the balancer for reports and answers.
+        config_version: Version of the configuration that it has.
+        config_source: Address that serves this configuration by HTTP.
+    """
+
+    balancer: str
+    address: tuple[str, int]
+    config_version: int
+    config_source: str
+
+
+class LoadReport(msgspec.Struct, frozen=True, tag="l", array_like=True):
+    """The load of an upstream as its agent sees it.
+
+    Attributes:
+        host: Host name of the agent.
+        service: Service of its upstream.
+        boot: Random number that the agent drew at its start.
+        sequence: Number of the report, rising within a boot.
+        accepting: False if every new flow would be declined now.
+        slots: Requests that the upstream serves at once.
+        in_progress: Requests without an answer, mean of the last moments.
+        flows: Open flows.
+        service_ms: Mean time from a request to its answer, milliseconds;
+            0 if not known.
+        offers: New flows that the receiver has offered to this agent in
+            this boot of the agent.
+        config_version: Newest version of the configuration among the
+            agent's subscribers.
+        config_source: Address that serves this configuration by HTTP.
+    """
+
+    host: str
+    service: str
+    boot: int
+    sequence: int
+    accepting: bool
+    slots: int
+    in_progress: float
+    flows: int
+    service_ms: float
+    offers: int
+    config_version: int
+    config_source: str
+
+
+class Held(msgspec.Struct, frozen=True, tag="h", array_like=True):
+    """The agent's upstream holds the flow."""
+
+    host: str
+    key: bytes
+
+
+class NotHeld(msgspec.Struct, frozen=True, tag="n", array_like=True):
+    """The agent's upstream does not hold the flow."""
+
+    host: str
+    key: bytes
+
+
+class Declined(msgspec.Struct, frozen=True, tag="d", array_like=True):
+    """The agent did not take a new flow; no request of it has run.
+
+    Attributes:
+        host: Host name of the agent.
+        key: Flow key.
+        reason: One of the ``DECLINED`` constants.
+    """
+
+    host: str
+    key: bytes
+    reason: str
+
+
+DECLINED_LEAVING = "leaving"
+DECLINED_UNKNOWN_STATE = "no-heartbeat-yet"
+DECLINED_OTHER_SERVICE = "other-service"
+DECLINED_BY_UPSTREAM = "upstream-full"
+DECLINED_OVERLOAD = "overload"
+DECLINED_SILENT = "upstream-silent"
+
+Message = Subscribe | LoadReport | Held | NotHeld | Declined
--- /dev/null
+++ b/crocusmux/core/forward/upstreams.py
@@ -0,0 +1,181 @@
+"""What a balancer knows of the agents and their upstreams."""
+
+from collections.abc import Iterable
+
+import msgspec
+import xxhash
+
+from crocusmux.core.forward import reports
+
+# An agent that did not report for this long is not chosen for new flows
+# while others report, seconds: four of its shortest report intervals.
+SILENT_S = 1.0
+# After this silence its host counts as lost, seconds: longer than a planned
+# restart of an agent takes.
+LOST_S = 4.0
+# Time without a choice after an opening stayed unanswered there, seconds.
+UNANSWERED_PAUSE_S = 0.4
+
+
+class Record(msgspec.Struct, frozen=True):
+    """An agent as it announced itself.
+
+    Attributes:
+        host: Name of its host.
+        service: Service of its upstream.
+        failure_domain: Failure domain of its host.
+        address: Address of the agent for segments.
+        control: Address of the agent for messages.
+    """
+
+    host: str
+    service: str
+    failure_domain: str
+    address: tuple[str, int]
+    control: tuple[str, int]
+
+
+class Upstream:
+    """An agent's upstream as a balancer sees it.
+
+    Attributes:
+        record: What the agent announced.
+        tag: Hash of the service name, as it travels with segments.
+        report: Its newest load report; None before the first.
+        reported_at: Time of that report, seconds; negative infinity before.
+        offered: New flows offered to it by this balancer in this boot.
+        paused_until: Time until which it gets no new flow, seconds.
+        declined: Consecutive new flows that it declined.
+    """
+
+    __slots__ = (
+        "declined",
+        "offered",
+        "paused_until",
+        "record",
+        "report",
+        "reported_at",
+        "tag",
+    )
+
+    def __init__(self, record: Record) -> None:
+        self.record = record
+        self.tag = service_tag(record.service)
+        self.report: reports.LoadReport | None = None
+        self.reported_at = float("-inf")
+        self.offered = 0
+        self.paused_until = float("-inf")
+        self.declined = 0
+
+    def unreported(self) -> int:
+        """Returns new flows offered to it that no report contains yet."""
+        if self.report is None:
+            return self.offered
+        return max(0, self.offered - self.report.offers)
+
+    def silent_s(self, now: float) -> float:
+        """Returns the time since its last report, seconds."""
+        return now - self.reported_at
+
+    def accepts(self, now: float) -> bool:
+        """Returns True if it reports and takes new flows."""
+        return (
+            self.report is not None
+            and self.report.accepting
+            and self.silent_s(now) < SILENT_S
+            and self.paused_until <= now
+        )
+
+
+class Directory:
+    """All agents that a balancer knows, by service."""
+
+    __slots__ = ("_by_host", "_by_service")
+
+    def __init__(self) -> None:
+        self._by_host: dict[str, Upstream] = {}
+        self._by_service: dict[str, list[Upstream]] = {}
+
+    def put(self, record: Record) -> bool:
+        """Adds an agent or replaces what is known of it.
+
+        Returns:
+            False if nothing changed.
+        """
+        known = self._by_host.get(record.host)
+        if known is not None and known.record == record:
+            return False
+        if known is not None:
+            self.remove(record.host)
+        # Two agents cannot live at one address; the newer record holds.
+        for other in list(self._by_host.values()):
+            if other.record.address == record.address:
+                self.remove(other.record.host)
+        upstream = Upstream(record)
+        self._by_host[record.host] = upstream
+        self._by_service.setdefault(record.service, []).append(upstream)
+        return True
+
+    def remove(self, host: str) -> bool:
+        """Forgets an agent; returns False if it was not known."""
+        upstream = self._by_host.pop(host, None)
+        if upstream is None:
+            return False
+        self._by_service[upstream.record.service].remove(upstream)
+        return True
+
+    def get(self, host: str) -> Upstream | None:
+        """Returns an agent's upstream; None if it is not known."""
+        return self._by_host.get(host)
+
+    def of(self, services: Iterable[str]) -> list[Upstream]:
+        """Returns all upstreams of some services."""
+        return [
+            one for name in services for one in self._by_service.get(name, ())
+        ]
+
+    def all(self) -> list[Upstream]:
+        """Returns all upstreams."""
+        return list(self._by_host.values())
+
+    def hosts(self) -> set[str]:
+        """Returns the host names of all agents."""
+        return set(self._by_host)
+
+    def on_report(self, now: float, report: reports.LoadReport) -> bool:
+        """Takes a load report.
+
+        Returns:
+            False if the agent is not known, names another service than its
+            record, or the report is older than the known one.
+        """
+        upstream = self._by_host.get(report.host)
+        if upstream is None or upstream.record.service != report.service:
+            return False
+        known = upstream.report
+        if known is not None and known.boot == report.boot:
+            if report.sequence <= known.sequence:
+                return False
+        else:
+            # The agent restarted: its count of offers begins anew.
+            upstream.offered = report.offers
+            upstream.declined = 0
+        upstream.report = report
+        upstream.reported_at = now
+        return True
+
+
+def service_tag(service: str) -> int:
+    """Returns the 32-bit hash of a service name that marks its segments."""
+    return xxhash.xxh32_intdigest(service.encode())
+
+
+def ranked(key: bytes, upstreams: list[Upstream]) -> list[Upstream]:
+    """Returns upstreams in the order of rendezvous hashing for a flow."""
+    return sorted(
+        upstreams,
+        key=lambda upstream: xxhash.xxh64_intdigest(
+            key + upstream.record.host.encode()
+        ),
+        reverse=True,
+    )
--- a/crocusmux/daemons/control.py
+++ b/crocusmux/daemons/control.py
@@ -27,8 +27,8 @@
 from crocusmux.core import controlplane
 from crocusmux.core import membership
 from crocusmux.core import spread
-from crocusmux.platform import access
-from crocusmux.platform import client
+from crocusmux.objectapi import access
+from crocusmux.objectapi import client
 
 logger = logging.getLogger(__name__)
 
--- /dev/null
+++ b/crocusmux/daemons/follow.py
@@ -0,0 +1,96 @@
+"""Follows the objects of one kind in the store."""
+
+import asyncio
+from collections.abc import Callable
+import logging
+import random
+
+from crocusmux import errors
+from crocusmux import forwarding
+from crocusmux.core import calls
+
+logger = logging.getLogger(__name__)
+
+# Longest wait of one watch.  Each call is paid for, and a connection that
+# went silent is noticed only after it.
+WATCH_S = 10.0
+# Longest wait between two attempts while the store fails.
+RETRY_MAX_S = 1.0
+
+Deliver = Callable[[forwarding.Changes], None]
+
+
+class Follower:
+    """Lists a kind, then watches it, through all failures of the store.
+
+    Attributes:
+        listed: True once a list has been delivered.
+    """
+
+    def __init__(
+        self,
+        store: forwarding.Store,
+        kind: str,
+        deliver: Deliver,
+        rng: random.Random,
+    ) -> None:
+        """Prepares to follow a kind.
+
+        Args:
+            store: The store.
+            kind: Kind of the objects.
+            deliver: Takes each batch of changes; it must not raise.
+            rng: Random numbers for jitter.
+        """
+        self.listed = False
+        self._store = store
+        self._kind = kind
+        self._deliver = deliver
+        self._rng = rng
+        self._revision: int | None = None
+        self._failures = 0
+
+    async def run(self) -> None:
+        """Follows until it is cancelled."""
+        while True:
+            try:
+                await self._step()
+            except errors.PlatformError as exc:
+                await self._on_failure(exc)
+            else:
+                self._on_success()
+
+    async def _step(self) -> None:
+        changes: forwarding.Changes | None
+        if self._revision is None:
+            changes = await self._store.list(self._kind)
+            self.listed = True
+        else:
+            changes = await self._store.watch(
+                self._kind, self._revision, WATCH_S
+            )
+        if changes is None:
+            logger.warning("event=history-gone kind=%s", self._kind)
+            self._revision = None
+            return
+        self._revision = changes.revision
+        if changes.full or changes.items or changes.removed:
+            self._deliver(changes)
+
+    async def _on_failure(self, exc: errors.PlatformError) -> None:
+        if self._failures == 0:
+            logger.warning(
+                "event=store-lost kind=%s error=%r", self._kind, str(exc)
+            )
+        wait = min(calls.backoff_s(self._failures, self._rng), RETRY_MAX_S)
+        self._failures += 1
+        await asyncio.sleep(wait)
+
+    def _on_success(self) -> None:
+        if self._failures:
+            logger.warning(
+                "event=store-back kind=%s failures=%d",
+                self._kind,
+                self._failures,
+            )
+        self._failures = 0
--- /dev/null
+++ b/crocusmux/daemons/forward.py
@@ -0,0 +1,189 @@
+"""What balancers and agents that forward segments have in common."""
+
+import asyncio
+from collections.abc import Callable
+import logging
+import signal
+import socket
+
+import msgspec
+from tornado import httpserver
+from tornado import httputil
+from tornado import netutil
+
+from crocusmux import errors
+from crocusmux import forwarding
+from crocusmux import logs
+from crocusmux.core.forward import outputs
+from crocusmux.core.forward import reports
+from crocusmux.daemons import process
+from crocusmux.daemons import udp
+
+logger = logging.getLogger(__name__)
+
+# Log lines are written out so often, seconds.
+WRITE_OUT_S = 0.25
+BACKLOG = 128
+MAX_BODY_BYTES = 4 << 20
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(reports.Message)
+
+Handler = Callable[[httputil.HTTPServerRequest], tuple[int, bytes]]
+
+
+class Counters:
+    """Counts of what a daemon did, by name."""
+
+    __slots__ = ("_counts",)
+
+    def __init__(self) -> None:
+        self._counts: dict[str, int] = {}
+
+    def add(self, name: str) -> None:
+        """Counts one."""
+        self._counts[name] = self._counts.get(name, 0) + 1
+
+    def text(self) -> str:
+        """Returns all counts in the text form of Prometheus."""
+        lines = []
+        for name in sorted(self._counts):
+            metric = "crocusmux_" + name.replace("-", "_") + "_total"
+            lines.append(f"# TYPE {metric} counter")
+            lines.append(f"{metric} {self._counts[name]}")
+        return "\n".join(lines) + "\n"
+
+
+class Messenger:
+    """Messages to and from other daemons, and the log of events.
+
+    Attributes:
+        socket: Socket for messages, from which segments go to agents too.
+        counters: Counts for the metrics.
+    """
+
+    def __init__(
+        self,
+        address: forwarding.Address,
+        receive: Callable[[reports.Message, forwarding.Address], None],
+        clock: Callable[[], float],
+    ) -> None:
+        """Binds the socket.
+
+        Args:
+            address: Address for messages.
+            receive: Takes each message with its sender.
+            clock: Returns the time in seconds.
+        """
+        self.counters = Counters()
+        self.log = logs.make_event_log(clock)
+        self._receive = receive
+        self.socket = udp.UdpSocket(address, self._on_datagram)
+
+    def send(self, message: reports.Message, to: forwarding.Address) -> None:
+        """Sends a message; it may be lost."""
+        self.socket.send(_encoder.encode(message), to)
+
+    def note(self, event: outputs.Event) -> None:
+        """Counts and logs an event."""
+        self.counters.add(event.what)
+        self.log(event)
+
+    def note_bad_input(self, exc: Exception, sender: object) -> None:
+        """Counts and logs input that cannot be read."""
+        detail = f"sender={sender} error={str(exc)!r}"
+        self.note(outputs.Event("bad-input", b"", detail))
+
+    def _on_datagram(self, data: bytes, sender: forwarding.Address) -> None:
+        try:
+            message = _decoder.decode(data)
+        except msgspec.DecodeError as exc:
+            self.note_bad_input(exc, sender)
+            return
+        self._receive(message, sender)
+
+
+def caller_address(key: bytes, port: int) -> forwarding.Address:
+    """Returns the address to which segments for a flow's caller go."""
+    return socket.inet_ntoa(key[:4]), port
+
+
+def serve(
+    address: forwarding.Address, handler: Handler
+) -> httpserver.HTTPServer:
+    """Serves HTTP calls by a function.
+
+    Args:
+        address: Address to listen on.
+        handler: Returns status and body for a request.
+
+    Raises:
+        errors.CrocusmuxError: The address cannot be bound.
+    """
+
+    def on_request(req: httputil.HTTPServerRequest) -> None:
+        status, body = handler(req)
+        conn = req.connection
+        assert conn is not None
+        reason = httputil.responses.get(status, "Unknown")
+        start = httputil.ResponseStartLine("HTTP/1.1", status, reason)
+        headers = httputil.HTTPHeaders({"Content-Length": str(len(body))})
+        conn.write_headers(start, headers, body)
+        conn.finish()
+
+    try:
+        sockets = netutil.bind_sockets(
+            address[1], address[0], socket.AF_INET, BACKLOG
+        )
+    except OSError as exc:
+        raise errors.CrocusmuxError(
+            str(exc), step="listen", peer=f"{address[0]}:{address[1]}"
+        ) from exc
+    server = httpserver.HTTPServer(on_request, max_body_size=MAX_BODY_BYTES)
+    server.add_sockets(sockets)
+    return server
+
+
+def run(
+    cfg: forwarding.HostSettings,
+    make: Callable[[], process.Daemon],
+    reload: Callable[[], forwarding.HostSettings],
+) -> int:
+    """Runs a daemon until SIGTERM.
+
+    Args:
+        cfg: Settings of the process.
+        make: Makes the daemon inside the running loop.
+        reload: Reads the settings again.
+
+    Returns:
+        The exit status.
+    """
+    handler = logs.set_up(cfg.host)
+
+    def make_with_log() -> process.Daemon:
+        loop = asyncio.get_running_loop()
+
+        def write_out() -> None:
+            handler.write_out()
+            loop.call_later(WRITE_OUT_S, write_out)
+
+        def on_hangup() -> None:
+            try:
+                reload()
+            except errors.SettingsError as exc:
+                logger.error("event=reload-failed error=%r", str(exc))
+            else:
+                logger.info("event=reload outcome=checked")
+
+        write_out()
+        loop.add_signal_handler(signal.SIGHUP, on_hangup)
+        return make()
+
+    logger.info("event=start role=%s", cfg.role)
+    try:
+        status = process.run(make_with_log)
+        logger.info("event=stop status=%d", status)
+    finally:
+        handler.write_out()
+    return status
--- /dev/null
+++ b/crocusmux/daemons/forward_agent.py
@@ -0,0 +1,228 @@
+"""An agent that passes segments on: sockets and timers."""
+
+import asyncio
+from collections.abc import Callable
+import logging
+import random
+
+import msgspec
+from tornado import httputil
+
+from crocusmux import errors
+from crocusmux import forwarding
+from crocusmux.core import calls
+from crocusmux.core.forward import agent
+from crocusmux.core.forward import heartbeats
+from crocusmux.core.forward import outputs
+from crocusmux.core.forward import reports
+from crocusmux.core.forward import upstreams
+from crocusmux.daemons import forward
+from crocusmux.daemons import process
+from crocusmux.daemons import udp
+
+logger = logging.getLogger(__name__)
+
+OK = 200
+BAD_REQUEST = 400
+CONFLICT = 409
+METRICS_PATH = "/metrics"
+# Longest wait between two attempts to announce itself, seconds.
+ANNOUNCE_MAX_S = 1.0
+# Attempts to delete its announcement when the upstream is gone.
+WITHDRAW_S = 2.0
+# Time that requests in progress get before the agent stops, seconds.  Its
+# upstream's flows stand still until it is back, so a stop is short.
+STOP_S = 0.5
+
+
+class AgentDaemon:
+    """Sockets and timers around ``AgentCore``."""
+
+    def __init__(
+        self,
+        cfg: forwarding.HostSettings,
+        adapter: forwarding.Adapter,
+        rng: random.Random,
+    ) -> None:
+        """Binds the sockets; ``start`` begins to serve."""
+        self._cfg = cfg
+        self._adapter = adapter
+        self._loop = asyncio.get_running_loop()
+        self._rng = rng
+        boot = rng.getrandbits(53)
+        self.core = agent.AgentCore(
+            cfg.host, cfg.service, boot, cfg.heartbeat_s
+        )
+        self._tasks: set[asyncio.Task] = set()
+        self._messenger = forward.Messenger(
+            cfg.messages, self._on_message, self._loop.time
+        )
+        self._segments = udp.UdpSocket(cfg.segments, self._on_datagram)
+        self._outbound = udp.UdpSocket(cfg.outbound, self._on_upstream)
+
+    async def start(self) -> None:
+        """Starts serving and announces itself."""
+        cfg = self._cfg
+        self._servers = [forward.serve(cfg.control, self._on_call)]
+        for address in {cfg.readiness, cfg.metrics} - {cfg.control}:
+            self._servers.append(forward.serve(address, self._on_call))
+        process.in_background(self._tasks, self._tick())
+        process.in_background(self._tasks, self._announce())
+
+    async def stop(self) -> None:
+        """Takes no new flows; withdraws if the upstream is gone."""
+        self._do(self.core.stop(self._loop.time()))
+        if self.core.life.gone:
+            await self._withdraw()
+        else:
+            await process.wait_until(self._idle, STOP_S)
+        for task in list(self._tasks):
+            task.cancel()
+
+    def _idle(self) -> bool:
+        return self.core.load.in_progress == 0
+
+    # Segments and messages
+
+    def _on_datagram(self, data: bytes, sender: forwarding.Address) -> None:
+        try:
+            seg = self._adapter.decode_from_caller(data)
+        except errors.WireError as exc:
+            self._messenger.note_bad_input(exc, sender)
+            return
+        now = self._loop.time()
+        self._do(self.core.on_caller_segment(now, seg, sender))
+
+    def _on_upstream(self, data: bytes, sender: forwarding.Address) -> None:
+        try:
+            seg = self._adapter.decode_from_upstream(data)
+        except errors.WireError as exc:
+            self._messenger.note_bad_input(exc, sender)
+            return
+        self._do(self.core.on_upstream_segment(self._loop.time(), seg))
+
+    def _on_message(
+        self, message: reports.Message, sender: forwarding.Address
+    ) -> None:
+        del sender
+        if isinstance(message, reports.Subscribe):
+            self._do(self.core.on_subscribe(self._loop.time(), message))
+
+    def _do(self, todo: list[outputs.Output]) -> None:
+        for output in todo:
+            if isinstance(output, outputs.ToUpstream):
+                seg = output.segment
+                data = self._adapter.encode_segment(
+                    seg, seg.service_tag, seg.mark
+                )
+                self._outbound.send(data, self._cfg.upstream)
+            elif isinstance(output, outputs.ToCaller):
+                self._to_caller(output.segment.key, output.segment.data)
+            elif isinstance(output, outputs.Event):
+                self._messenger.note(output)
+            elif isinstance(output, outputs.ToPeer):
+                self._messenger.send(output.message, output.to)
+            elif isinstance(output, outputs.Reset):
+                data = self._adapter.encode_reset(output.key, output.seq)
+                self._to_caller(output.key, data)
+
+    def _to_caller(self, key: bytes, data: bytes) -> None:
+        caller = forward.caller_address(key, self._cfg.caller_port)
+        self._segments.send(data, caller)
+
+    async def _tick(self) -> None:
+        while True:
+            self._do(self.core.on_timer(self._loop.time()))
+            await asyncio.sleep(agent.TICK_S)
+
+    # Store
+
+    async def _announce(self) -> None:
+        """Writes the object by which balancers find this agent."""
+        cfg = self._cfg
+        record = upstreams.Record(
+            host=cfg.host,
+            service=cfg.service,
+            failure_domain=cfg.failure_domain,
+            address=cfg.segments,
+            control=cfg.messages,
+        )
+        spec = msgspec.json.encode(record)
+        failures = 0
+        while True:
+            try:
+                await self._write_record(spec)
+            except errors.PlatformError as exc:
+                if failures == 0:
+                    logger.warning("event=announce-failed error=%r", str(exc))
+                wait = calls.backoff_s(failures, self._rng)
+                failures += 1
+                await asyncio.sleep(min(wait, ANNOUNCE_MAX_S))
+            else:
+                logger.info("event=announced failures=%d", failures)
+                return
+
+    async def _write_record(self, spec: bytes) -> None:
+        store, kind = self._adapter.store, self._adapter.agent_kind
+        try:
+            await store.create(kind, self._cfg.host, spec)
+        except errors.ConflictError:
+            # The host's former agent left it; a host keeps its addresses,
+            # but may have got another service.
+            await store.replace(kind, self._cfg.host, spec)
+
+    async def _withdraw(self) -> None:
+        store, kind = self._adapter.store, self._adapter.agent_kind
+        try:
+            await asyncio.wait_for(
+                store.delete(kind, self._cfg.host), WITHDRAW_S
+            )
+        except (errors.PlatformError, TimeoutError) as exc:
+            logger.warning("event=withdraw-failed error=%r", str(exc))
+        else:
+            logger.info("event=withdrawn")
+
+    # HTTP
+
+    def _on_call(self, req: httputil.HTTPServerRequest) -> tuple[int, bytes]:
+        if req.path == self._adapter.ready_path:
+            return OK, b""
+        if req.path == METRICS_PATH:
+            return OK, self._messenger.counters.text().encode()
+        try:
+            call = self._adapter.decode_call(
+                req.method or "", req.path, req.body
+            )
+        except errors.WireError as exc:
+            self._messenger.note_bad_input(exc, req.remote_ip)
+            return BAD_REQUEST, b""
+        now = self._loop.time()
+        if isinstance(call, forwarding.Leave):
+            self._do(self.core.on_leave(now, call.upstream))
+            return OK, b"{}"
+        return self._on_heartbeat(now, call)
+
+    def _on_heartbeat(
+        self, now: float, beat: heartbeats.Heartbeat
+    ) -> tuple[int, bytes]:
+        cfg = self._cfg
+        if (beat.service, beat.address) != (cfg.service, cfg.upstream):
+            detail = f"service={beat.service} address={beat.address}"
+            event = outputs.Event("heartbeat-foreign", b"", detail, True)
+            self._messenger.note(event)
+            return CONFLICT, b""
+        self._do(self.core.on_heartbeat(now, beat))
+        return (OK if self.core.life.acknowledges(beat) else CONFLICT), b"{}"
+
+
+def run(
+    cfg: forwarding.HostSettings,
+    make_adapter: Callable[[forwarding.HostSettings], forwarding.Adapter],
+    reload: Callable[[], forwarding.HostSettings],
+) -> int:
+    """Runs an agent until SIGTERM; see ``forward.run``."""
+    return forward.run(
+        cfg,
+        lambda: AgentDaemon(cfg, make_adapter(cfg), random.Random()),
+        reload,
+    )
--- a/crocusmux/daemons/node.py
+++ b/crocusmux/daemons/node.py
@@ -20,8 +20,8 @@
 from crocusmux.daemons import process
 from crocusmux.daemons import resumable
 from crocusmux.daemons import status
-from crocusmux.platform import access
-from crocusmux.platform import client
+from crocusmux.objectapi import access
+from crocusmux.objectapi import client
 
 logger = logging.getLogger(__name__)
 
--- a/crocusmux/demo.py
+++ b/crocusmux/demo.py
@@ -20,8 +20,8 @@
 from crocusmux.client import flow as client_flow
 from crocusmux.daemons import node
 from crocusmux.daemons import process
-from crocusmux.platform import client
-from crocusmux.platform import standin
+from crocusmux.objectapi import client
+from crocusmux.objectapi import standin
 
 logger = logging.getLogger(__name__)
 
--- a/crocusmux/fleet.py
+++ b/crocusmux/fleet.py
@@ -15,8 +15,8 @@
 
 from crocusmux import errors
 from crocusmux import objects
-from crocusmux.platform import client as platform
-from crocusmux.platform import http
+from crocusmux.objectapi import client as platform
+from crocusmux.objectapi import http
 
 logger = logging.getLogger(__name__)
 
--- /dev/null
+++ b/crocusmux/logs.py
@@ -0,0 +1,114 @@
+"""Structured log lines on standard output, bounded and never blocking."""
+
+from collections.abc import Callable
+import logging
+import os
+import sys
+
+from crocusmux.core.forward import outputs
+from crocusmux.core.forward import segments
+
+logger = logging.getLogger("crocusmux.events")
+
+# Lines of ordinary decisions and of notable ones that are kept a second.
+# Lines beyond are counted, and the count is logged.
+ORDINARY_LINES_PER_S = 200
+NOTABLE_LINES_PER_S = 300
+# Bytes of log lines kept while standard output does not take them.
+BUFFER_BYTES = 256 * 1024
+
+FORMAT = "%(asctime)s %(levelname)s %(name)s %(message)s"
+
+
+class BufferedHandler(logging.Handler):
+    """Keeps lines until ``write_out``; a full buffer drops and counts them."""
+
+    def __init__(self, descriptor: int | None = None) -> None:
+        """Writes to a file descriptor, standard output by default."""
+        super().__init__()
+        self._descriptor = (
+            sys.stdout.fileno() if descriptor is None else descriptor
+        )
+        os.set_blocking(self._descriptor, False)
+        self._lines: list[bytes] = []
+        self._bytes = 0
+        self._dropped = 0
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Keeps a line."""
+        line = (self.format(record) + "\n").encode(errors="replace")
+        if self._bytes + len(line) > BUFFER_BYTES:
+            self._dropped += 1
+            return
+        self._lines.append(line)
+        self._bytes += len(line)
+
+    def write_out(self) -> None:
+        """Writes what standard output takes now."""
+        if self._dropped and self._bytes < BUFFER_BYTES // 2:
+            text = f"event=log-dropped lines={self._dropped}\n"
+            self._lines.append(text.encode())
+            self._dropped = 0
+        if not self._lines:
+            return
+        data = b"".join(self._lines)
+        try:
+            written = os.write(self._descriptor, data)
+        except BlockingIOError:
+            written = 0
+        rest = data[written:]
+        self._lines = [rest] if rest else []
+        self._bytes = len(rest)
+
+
+def set_up(host: str) -> BufferedHandler:
+    """Sends all log lines of the process to a buffered handler."""
+    handler = BufferedHandler()
+    handler.setFormatter(logging.Formatter(f"{FORMAT} host={host}"))
+    root = logging.getLogger()
+    root.addHandler(handler)
+    root.setLevel(logging.INFO)
+    return handler
+
+
+def make_event_log(
+    clock: Callable[[], float],
+) -> Callable[[outputs.Event], None]:
+    """Returns a function that logs events at a bounded rate.
+
+    Args:
+        clock: Returns the time in seconds.
+    """
+    second = -1
+    kept = {True: 0, False: 0}
+    left_out = {True: 0, False: 0}
+    limits = {True: NOTABLE_LINES_PER_S, False: ORDINARY_LINES_PER_S}
+
+    def log(event: outputs.Event) -> None:
+        nonlocal second
+        if int(clock()) != second:
+            second = int(clock())
+            if left_out[True] or left_out[False]:
+                logger.warning(
+                    "event=left-out notable=%d ordinary=%d",
+                    left_out[True],
+                    left_out[False],
+                )
+            for notable in (True, False):
+                kept[notable] = left_out[notable] = 0
+        if kept[event.notable] >= limits[event.notable]:
+            left_out[event.notable] += 1
+            return
+        kept[event.notable] += 1
+        level = logging.WARNING if event.notable else logging.INFO
+        logger.log(level, format_event(event))
+
+    return log
+
+
+def format_event(event: outputs.Event) -> str:
+    """Returns the log line of an event."""
+    if not event.key:
+        return f"event={event.what} {event.detail}"
+    flow = segments.show_key(event.key)
+    return f"event={event.what} flow={flow} {event.detail}"
--- /dev/null
+++ b/crocusmux/objectapi/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the object API, and its stand-in for tests."""
--- a/crocusmux/platform/access.py
+++ b/crocusmux/objectapi/access.py
@@ -6,7 +6,7 @@
 
 from crocusmux import errors
 from crocusmux import objects
-from crocusmux.platform import client as platform
+from crocusmux.objectapi import client as platform
 
 
 class Batch(msgspec.Struct, frozen=True):
--- a/crocusmux/platform/client.py
+++ b/crocusmux/objectapi/client.py
@@ -13,7 +13,7 @@
 from crocusmux import errors
 from crocusmux import objects
 from crocusmux.core import calls
-from crocusmux.platform import http
+from crocusmux.objectapi import http
 
 logger = logging.getLogger(__name__)
 
--- a/crocusmux/operations.py
+++ b/crocusmux/operations.py
@@ -15,7 +15,7 @@
 from crocusmux import errors
 from crocusmux import objects
 from crocusmux.core import holds
-from crocusmux.platform import client as platform
+from crocusmux.objectapi import client as platform
 
 # Revisions of a preset, and presets that were in force, kept for the
 # history; a preset has about 1 KB, so 30 stay far below the 1 MB limit.
--- a/crocusmux/platform/__init__.py
+++ b/crocusmux/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Client and stand-in of the platform's object API."""
+"""Adapter to the users' platform: decodes its names, decides nothing."""
--- /dev/null
+++ b/crocusmux/platform/__main__.py
@@ -0,0 +1,61 @@
+"""Starts a daemon with the platform's settings.
+
+Run as ``python -m crocusmux.platform balancer`` or ``... agent``.
+"""
+
+import importlib
+import os
+import sys
+
+from crocusmux import errors
+from crocusmux import forwarding
+from crocusmux.platform import desired
+from crocusmux.platform import hosts
+from crocusmux.platform import packets
+from crocusmux.platform import registry
+from crocusmux.platform import store
+
+ROLES = ("balancer", "agent")
+
+
+def make_adapter(cfg: forwarding.HostSettings) -> forwarding.Adapter:
+    """Returns the platform as the daemons use it."""
+    return forwarding.Adapter(
+        store=store.Store(cfg.store),
+        config_kind="config",
+        agent_kind="agents",
+        ready_path="/crocusmux/ready",
+        decode_from_caller=packets.decode_from_caller,
+        decode_from_upstream=packets.decode_from_upstream,
+        encode_segment=packets.encode,
+        encode_reset=packets.encode_reset,
+        decode_config=desired.decode,
+        decode_call=registry.decode_call,
+    )
+
+
+def main() -> int:
+    """Runs the daemon of the role given as argument; returns its status."""
+    role = sys.argv[1] if len(sys.argv) == 2 else ""
+    path = os.environ.get(hosts.SETTINGS_VARIABLE, "")
+    try:
+        if role not in ROLES:
+            raise errors.UserError(
+                f"give one of {', '.join(ROLES)}", step="read arguments"
+            )
+        cfg = hosts.load(path)
+        if cfg.role != role:
+            raise errors.SettingsError(
+                f"settings are for {cfg.role}, not {role}",
+                step="check settings",
+                peer=path,
+            )
+    except errors.UserError as exc:
+        sys.stderr.write(f"crocusmux: {exc}\n")
+        return 1
+    daemon = importlib.import_module(f"crocusmux.daemons.forward_{role}")
+    return daemon.run(cfg, make_adapter, lambda: hosts.load(path))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/crocusmux/platform/desired.py
@@ -0,0 +1,72 @@
+"""The operator's desired state, decoded to the product's configuration."""
+
+import msgspec
+
+from crocusmux import errors
+from crocusmux.core.forward import routes
+
+
+class _Share(msgspec.Struct):
+    service: str
+    weight: int
+
+
+class _Route(msgspec.Struct):
+    name: str
+    # An IPv4 address of the platform, not a name.
+    hostname: str
+    # A port between slashes, such as "/8443/".
+    path_prefix: str
+    type: str
+    timeout_ms: float
+    target_latency_ms: float
+    priority: int
+    service: str = ""
+    traffic_split: list[_Share] = []
+
+
+class _Limits(msgspec.Struct):
+    idle_timeout_ms: float = routes.DEFAULT_IDLE_S * 1000
+
+
+class _DesiredState(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+def decode(spec: bytes) -> routes.Configuration:
+    """Decodes the ``spec`` of the object ``config/main``.
+
+    Raises:
+        errors.ObjectError: It is malformed.
+    """
+    try:
+        state = msgspec.json.decode(spec, type=_DesiredState)
+        found = tuple(_route(route) for route in state.routes)
+    except (msgspec.DecodeError, ValueError) as exc:
+        raise errors.ObjectError(
+            f"desired state is malformed: {exc}", step="decode configuration"
+        ) from exc
+    return routes.Configuration(
+        state.version, found, state.limits.idle_timeout_ms / 1000
+    )
+
+
+def _route(route: _Route) -> routes.Route:
+    shares = tuple((s.service, s.weight) for s in route.traffic_split)
+    if route.service:
+        shares = ((route.service, 1),)
+    if not shares:
+        raise ValueError(f"route {route.name} leads to no service")
+    address = (route.hostname, int(route.path_prefix.strip("/")))
+    routes.route_bytes(address)
+    return routes.Route(
+        name=route.name,
+        address=address,
+        shares=shares,
+        timeout_s=route.timeout_ms / 1000,
+        target_s=route.target_latency_ms / 1000,
+        urgency=route.priority,
+        repeatable=route.type == "idempotent",
+    )
--- a/crocusmux/ui/base.py
+++ b/crocusmux/ui/base.py
@@ -16,7 +16,7 @@
 
 from crocusmux import errors
 from crocusmux import fleet
-from crocusmux.platform import client as platform
+from crocusmux.objectapi import client as platform
 
 DONE = 0
 USER_ERROR = 1
--- a/crocusmux/ui/preset.py
+++ b/crocusmux/ui/preset.py
@@ -7,7 +7,7 @@
 from crocusmux import errors
 from crocusmux import objects
 from crocusmux import operations
-from crocusmux.platform import client as platform
+from crocusmux.objectapi import client as platform
 from crocusmux.ui import base
 
 IN_FORCE = "in-force"
--- a/crocusmux/ui/status.py
+++ b/crocusmux/ui/status.py
@@ -8,7 +8,7 @@
 from crocusmux import errors
 from crocusmux import fleet
 from crocusmux import operations
-from crocusmux.platform import client as platform
+from crocusmux.objectapi import client as platform
 from crocusmux.ui import base
 
 _READ = [base.PLATFORM, base.JSON]
--- a/crocusmux/ui/upstream.py
+++ b/crocusmux/ui/upstream.py
@@ -7,7 +7,7 @@
 
 from crocusmux import objects
 from crocusmux import operations
-from crocusmux.platform import client as platform
+from crocusmux.objectapi import client as platform
 from crocusmux.ui import base
 
 _READ = [base.PLATFORM, base.JSON]
--- a/features/steps/control_sockets_steps.py
+++ b/features/steps/control_sockets_steps.py
@@ -16,8 +16,8 @@
 from crocusmux.core import membership
 from crocusmux.core import spread
 from crocusmux.daemons import control
-from crocusmux.platform import access
-from crocusmux.platform import standin
+from crocusmux.objectapi import access
+from crocusmux.objectapi import standin
 from features import loop as paused
 
 KEY = "a0" * 16
--- a/features/steps/platform_client_steps.py
+++ b/features/steps/platform_client_steps.py
@@ -10,9 +10,9 @@
 
 from crocusmux import errors
 from crocusmux.core import calls
-from crocusmux.platform import client
-from crocusmux.platform import http
-from crocusmux.platform import standin
+from crocusmux.objectapi import client
+from crocusmux.objectapi import http
+from crocusmux.objectapi import standin
 from features import loop as paused
 
 STEP_S = 0.05
