--- /dev/null
+++ b/features/forward_agent.feature
@@ -0,0 +1,137 @@
+Feature: An agent passes segments of its upstream on
+
+  # Guards against openings that never reach the upstream.
+  Scenario: A new flow is delivered
+    Given an agent of rounds whose upstream is ready
+    When a balancer sends an opening
+    Then the upstream gets it
+
+  # Guards against DRAIN: work for an upstream that leaves, from a balancer
+  # that does not know it yet.
+  Scenario: After a heartbeat that says draining new flows are declined
+    Given an agent of rounds whose upstream is ready
+    When the upstream says that it drains
+    And a balancer sends an opening
+    Then the opening is declined as "leaving"
+
+  # Guards against a restart that forgets a drain.
+  Scenario: An agent that knows no heartbeat declines new flows
+    Given an agent of rounds without a heartbeat
+    When a balancer sends an opening
+    Then the opening is declined as "no-heartbeat-yet"
+
+  # Guards against ROUTE: addresses are used again by other services.
+  Scenario: A flow for another service is declined
+    Given an agent of rounds whose upstream is ready
+    When a balancer sends an opening for wheelbook
+    Then the opening is declined as "other-service"
+
+  # Guards against UNASKED and FLOW (b): foreign segments at an upstream.
+  Scenario: A segment that answers another upstream's SYN+ACK is not delivered
+    Given an agent of rounds whose upstream is ready
+    When a balancer sends an opening
+    And the upstream answers the opening with sequence 5000
+    And the caller acknowledges 900000
+    Then the upstream does not get it
+    And the balancer is told that the flow is not held
+
+  # Guards against a flow that two upstreams answered and none is given.
+  Scenario: A segment that answers this upstream's SYN+ACK opens the flow
+    Given an agent of rounds whose upstream is ready
+    When a balancer sends an opening
+    And the upstream answers the opening with sequence 5000
+    And the caller acknowledges 5001
+    Then the upstream gets it
+
+  # Guards against flows broken by a restart of the agent.
+  Scenario: After a restart the upstream tells which flows it holds
+    Given an agent of rounds without a heartbeat
+    When a balancer asks for a flow that the agent does not know
+    Then the upstream gets it
+    When the upstream sends data on that flow
+    Then the balancer is told that the flow is held
+
+  # Guards against callers that wait: BOUNCED is the negative answer.
+  Scenario: A probed segment that the upstream returns is denied
+    Given an agent of rounds without a heartbeat
+    When a balancer asks for a flow that the agent does not know
+    And the upstream returns the segment
+    Then the balancer is told that the flow is not held
+
+  # Guards against callers that wait for an upstream that restarted.
+  Scenario: An open flow that the upstream returns is reset
+    Given an agent of rounds whose upstream is ready
+    And an open flow
+    When the caller sends data and the upstream returns it
+    Then the caller gets a reset near its acknowledgement 5001
+
+  # Guards against a reset after a late acknowledgement of an ended flow.
+  Scenario: A flow that the upstream closed is not reset
+    Given an agent of rounds whose upstream is ready
+    And an open flow
+    When the upstream closes the flow
+    And the caller sends data and the upstream returns it
+    Then the agent sends no reset
+
+  # Guards against a refusal while another upstream has room.
+  Scenario: An opening that the upstream returns is declined
+    Given an agent of rounds whose upstream is ready
+    When a balancer sends an opening
+    And the upstream returns the opening
+    Then the opening is declined as "upstream-full"
+
+  # Guards against new flows at an upstream that died without a word.
+  Scenario: An upstream that leaves an opening unanswered is silent
+    Given an agent of rounds whose upstream is ready
+    When a balancer sends an opening
+    And 0.15 s pass at the agent
+    Then the opening is declined as "upstream-silent"
+    And the agent reports that it takes no flows
+
+  # Guards against a silence that never ends.
+  Scenario: Any packet of the upstream ends its silence
+    Given an agent of rounds whose upstream is ready
+    When a balancer sends an opening
+    And 0.15 s pass at the agent
+    And the upstream answers the opening with sequence 5000
+    Then the agent reports that it takes flows
+
+  # Guards against open flows that wait for a dead upstream.
+  Scenario: The open flows of a dead upstream are reset
+    Given an agent of rounds whose upstream is ready
+    And an open flow
+    When a balancer sends an opening
+    And 0.8 s pass at the agent
+    Then the caller of the open flow gets a reset
+
+  # Guards against a reset of flows whose upstream only missed heartbeats.
+  Scenario: Missed heartbeats alone reset nothing
+    Given an agent of rounds whose upstream is ready
+    And an open flow
+    When 6 s pass at the agent
+    Then the agent sends no reset
+    And the agent reports that it takes no flows
+
+  # Guards against a queue at the upstream that no caller survives.
+  Scenario: New flows are declined while too many requests wait
+    Given an agent of rounds whose upstream is ready
+    When 10 flows with a request each are open
+    And a balancer sends an opening
+    Then the opening is declined as "overload"
+
+  # Guards against a count of requests that only grows.
+  Scenario: Answered requests are no longer counted
+    Given an agent of rounds whose upstream is ready
+    When 10 flows with a request each are open
+    And all their requests are answered after 40 ms
+    Then no request is in progress
+    And the mean service time is between 39 and 41 ms
+
+  # Guards against a retransmission that counts as a new request.
+  Scenario: A retransmitted request is counted once
+    Given an agent of rounds whose upstream is ready
+    When 1 flows with a request each are open
+    And all their requests are answered after 40 ms
+    And the first request arrives again
+    Then no request is in progress
+
--- /dev/null
+++ b/features/forward_balancer.feature
@@ -0,0 +1,112 @@
+Feature: A balancer passes segments of flows on
+
+  # Guards against openings that never leave the balancer.
+  Scenario: A new flow goes to an agent of the route's service
+    Given a balancer with the agents a, b, c of rounds and d of wheelbook
+    When a caller opens a flow to rounds
+    Then one agent of rounds is offered the flow
+
+  # Guards against a flow that moves when load reports change.
+  Scenario: Later segments go where the flow was opened
+    Given a balancer with the agents a, b, c of rounds and d of wheelbook
+    When a caller opens a flow to rounds
+    And all agents report other loads
+    And the caller sends 20 segments
+    Then they all go to the agent that was offered the flow
+
+  # Guards against flows broken when the fabric hashes anew: FLOW (b).
+  Scenario: A flow that another balancer opened is looked up
+    Given a balancer with the agents a, b, c of rounds and d of wheelbook
+    When a segment of an unknown flow to rounds arrives
+    Then the agents a, b, c are asked for it
+    When agent b answers that it holds the flow
+    And the caller sends 3 segments
+    Then they all go to agent b
+
+  # Guards against resets of flows that live: only the holder's word counts.
+  Scenario: Denials of agents that never held a flow reset nothing
+    Given a balancer with the agents a, b, c of rounds and d of wheelbook
+    When a segment of an unknown flow to rounds arrives
+    And agents a, c answer that they do not hold the flow
+    Then the caller gets no reset
+
+  # Guards against callers that wait for a flow which its upstream has lost.
+  Scenario: A flow that its holder denies is reset
+    Given a balancer with the agents a, b, c of rounds and d of wheelbook
+    When a caller opens a flow to rounds
+    And the caller sends 1 segments
+    And the agent that was offered the flow answers that it does not hold it
+    Then the caller gets a reset near its acknowledgement
+
+  # Guards against a refusal while others have room.
+  Scenario: A declined flow is offered to another agent
+    Given a balancer with the agents a, b, c of rounds and d of wheelbook
+    When a caller opens a flow to rounds
+    And the agent that was offered the flow declines it
+    Then another agent of rounds is offered the flow
+
+  # Guards against a caller that waits in vain: a reset is a true "not run".
+  Scenario: A flow that all agents decline is refused at once
+    Given a balancer with the agents a, b, c of rounds and d of wheelbook
+    When a caller opens a flow to rounds
+    And every agent that is offered the flow declines it
+    Then the caller gets a reset
+
+  # Guards against a dead upstream that costs a caller its first attempt.
+  Scenario: A repeated opening goes to a second agent
+    Given a balancer with the agents a, b, c of rounds and d of wheelbook
+    When a caller opens a flow to rounds
+    And the caller repeats its opening after 0.2 s
+    Then two different agents were offered the flow
+    When the caller sends 1 segments
+    Then both offered agents are asked for it
+
+  # Guards against new flows to hosts that died silently.
+  Scenario: An agent without reports gets no new flows
+    Given a balancer with the agents a, b, c of rounds and d of wheelbook
+    When agent a stays silent for 1.5 s while others report
+    And 200 callers open flows to rounds
+    Then agent a is offered none of them
+
+  # Guards against a service that is emptied by a list without entries.
+  Scenario: New flows wait for a report and are then placed
+    Given a balancer with a route but without reports
+    When a caller opens a flow to rounds
+    Then no agent is offered the flow and the caller gets no reset
+    When agent a reports that it takes flows
+    Then agent a is offered the flow
+
+  # Guards against late refusals: the wait is bounded.
+  Scenario: A flow that nobody takes in time is refused
+    Given a balancer with a route but without reports
+    When a caller opens a flow to rounds
+    And 0.8 s pass
+    Then the caller gets a reset
+
+  # Guards against CONFIG: a configuration that goes back.
+  Scenario: An older configuration changes nothing
+    Given a balancer with the agents a, b, c of rounds and d of wheelbook
+    When a configuration of an older version without routes arrives
+    And a caller opens a flow to rounds
+    Then one agent of rounds is offered the flow
+
+  # Guards against flows to a route that was dropped.
+  Scenario: A route that a newer configuration drops gets no new flows
+    Given a balancer with the agents a, b, c of rounds and d of wheelbook
+    When a configuration of a newer version without routes arrives
+    And a caller opens a flow to rounds
+    Then the caller gets a reset
+
+  # Guards against an address that is used again by another service.
+  Scenario: Another service at a known address replaces its agent
+    Given a balancer with the agents a, b, c of rounds and d of wheelbook
+    When an agent e of wheelbook announces itself at the address of a
+    And 200 callers open flows to rounds
+    Then agents a, e are offered none of them
+
+  # Guards against load that piles up on slow upstreams.
+  Scenario: Work follows the speed that reports show
+    Given a balancer with the agents a, b, c of rounds and d of wheelbook
+    And agent a takes 60 ms for a request and the others 20 ms
+    When 600 callers open flows to rounds
+    Then agent a is offered between 3 and 25 percent of them
--- /dev/null
+++ b/features/heartbeats.feature
@@ -0,0 +1,32 @@
+Feature: Heartbeats tell the boots of an upstream apart
+
+  # Guards against a heartbeat that a partition delayed.
+  Scenario Outline: Which heartbeat counts after one of boot 1000, sequence 5
+    Given an upstream of boot 1000 with sequence 5 that is <state>
+    When <seconds> s later a heartbeat of boot <born> with sequence <number> says <next>
+    Then it <counts> and the upstream is <result>
+
+    Examples:
+      | state    | seconds | born | number | next     | counts         | result   |
+      | ready    | 1       | 1000 | 6      | draining | counts         | draining |
+      | ready    | 1       | 1000 | 5      | draining | does not count | ready    |
+      | ready    | 1       | 1000 | 4      | draining | does not count | ready    |
+      | draining | 1       | 1000 | 6      | ready    | does not count | draining |
+      | draining | 1       | 2000 | 0      | ready    | counts         | ready    |
+      | draining | 1       | 500  | 9      | ready    | does not count | draining |
+      | ready    | 1       | 500  | 9      | draining | does not count | ready    |
+      | draining | 9       | 500  | 1      | ready    | counts         | ready    |
+
+  # Guards against a new boot that is shut out because the clock jumped back.
+  Scenario: A boot that starts earlier by its clock counts at its second heartbeat
+    Given an upstream of boot 1000 with sequence 5 that is draining
+    When 1 s later a heartbeat of boot 500 with sequence 0 says ready
+    And 1 s later a heartbeat of boot 500 with sequence 1 says ready
+    Then it counts and the upstream is ready
+
+  # Guards against an id that is used again after a start.
+  Scenario: A new boot may start its sequence anew
+    Given an upstream of boot 1000 with sequence 5 that is ready
+    When 1 s later a heartbeat of boot 3000 with sequence 0 says ready
+    And 1 s later a heartbeat of boot 1000 with sequence 6 says draining
+    Then it does not count and the upstream is ready
--- /dev/null
+++ b/features/steps/forward_agent_steps.py
@@ -0,0 +1,236 @@
+from behave import given
+from behave import then
+from behave import when
+
+from crocusmux.core.forward import agent
+from crocusmux.core.forward import outputs
+from crocusmux.core.forward import reports
+from crocusmux.core.forward import segments
+from crocusmux.core.forward import upstreams
+from features.steps import forward_balancer_steps as shared
+from features.steps import heartbeats_steps
+
+BALANCER = ("10.0.0.9", 7720)
+BORN_MS = 1000
+
+
+def segment(key, from_caller=True, **changes):
+    values = {
+        "key": key,
+        "from_caller": from_caller,
+        "opening": False,
+        "acknowledges": True,
+        "final": False,
+        "reset": False,
+        "returned": False,
+        "seq": 1000,
+        "ack": 5001,
+        "length": 0,
+        "service_tag": upstreams.service_tag("rounds"),
+        "mark": segments.MARK_DIRECT,
+        "data": b"",
+    }
+    return segments.Segment(**{**values, **changes})
+
+
+def from_balancer(context, seg):
+    context.outs = context.core.on_caller_segment(context.now, seg, BALANCER)
+
+
+def from_upstream(context, seg):
+    context.outs = context.core.on_upstream_segment(context.now, seg)
+
+
+def open_flow(context, key):
+    from_balancer(context, segment(key, opening=True, ack=0))
+    from_upstream(context, segment(key, False, opening=True, seq=5000))
+    from_balancer(context, segment(key, ack=5001))
+
+
+def kinds(context, kind):
+    return [o for o in context.outs if isinstance(o, kind)]
+
+
+def messages(context, kind):
+    peers = kinds(context, outputs.ToPeer)
+    return [o.message for o in peers if isinstance(o.message, kind)]
+
+
+@given("an agent of rounds without a heartbeat")
+def new_agent(context):
+    context.now = 100.0
+    context.core = agent.AgentCore("side-1", "rounds", 7, 1.2)
+    context.key = shared.flow_key(40001)
+    context.outs = []
+    context.core.on_subscribe(
+        context.now, reports.Subscribe("edge-1", BALANCER, 5, "")
+    )
+
+
+@given("an agent of rounds whose upstream is ready")
+def ready_agent(context):
+    new_agent(context)
+    beat = heartbeats_steps.heartbeat(BORN_MS, 1)
+    context.core.on_heartbeat(context.now, beat)
+
+
+@given("an open flow")
+def one_open_flow(context):
+    context.open_key = shared.flow_key(50001)
+    open_flow(context, context.open_key)
+
+
+@when("a balancer sends an opening")
+def opening(context):
+    from_balancer(context, segment(context.key, opening=True, ack=0))
+
+
+@when("a balancer sends an opening for wheelbook")
+def foreign_opening(context):
+    tag = upstreams.service_tag("wheelbook")
+    seg = segment(context.key, opening=True, ack=0, service_tag=tag)
+    from_balancer(context, seg)
+
+
+@when("the upstream says that it drains")
+def drains(context):
+    beat = heartbeats_steps.heartbeat(BORN_MS, 2, draining=True)
+    context.core.on_heartbeat(context.now, beat)
+
+
+@when("the upstream answers the opening with sequence {seq:d}")
+def answers_opening(context, seq):
+    from_upstream(context, segment(context.key, False, opening=True, seq=seq))
+
+
+@when("the caller acknowledges {ack:d}")
+def acknowledges(context, ack):
+    from_balancer(context, segment(context.key, ack=ack))
+
+
+@when("a balancer asks for a flow that the agent does not know")
+def asks(context):
+    seg = segment(context.key, length=100, mark=segments.MARK_ASKING)
+    from_balancer(context, seg)
+
+
+@when("the upstream sends data on that flow")
+def sends_data(context):
+    from_upstream(context, segment(context.key, False, length=500))
+
+
+@when("the upstream returns the segment")
+def returns_segment(context):
+    from_upstream(context, segment(context.key, returned=True, length=100))
+
+
+@when("the upstream returns the opening")
+def returns_opening(context):
+    seg = segment(context.key, returned=True, opening=True, ack=0)
+    from_upstream(context, seg)
+
+
+@when("the caller sends data and the upstream returns it")
+def data_returned(context):
+    from_balancer(context, segment(context.open_key, length=100))
+    seg = segment(context.open_key, returned=True, length=100)
+    from_upstream(context, seg)
+
+
+@when("the upstream closes the flow")
+def upstream_closes(context):
+    from_upstream(context, segment(context.open_key, False, final=True))
+
+
+@when("{seconds:g} s pass at the agent")
+def time_passes(context, seconds):
+    context.outs = []
+    end = context.now + seconds
+    while context.now < end:
+        context.now += agent.TICK_S
+        context.outs += context.core.on_timer(context.now)
+
+
+@when("{count:d} flows with a request each are open")
+def open_requests(context, count):
+    context.keys = [shared.flow_key(42000 + n) for n in range(count)]
+    for key in context.keys:
+        open_flow(context, key)
+        from_balancer(context, segment(key, length=100))
+
+
+@when("all their requests are answered after {ms:d} ms")
+def answer_all(context, ms):
+    context.now += ms / 1000
+    for key in context.keys:
+        from_upstream(context, segment(key, False, length=500))
+
+
+@when("the first request arrives again")
+def request_again(context):
+    from_balancer(context, segment(context.keys[0], length=100))
+
+
+@then("the upstream gets it")
+def upstream_gets(context):
+    assert len(kinds(context, outputs.ToUpstream)) == 1, context.outs
+
+
+@then("the upstream does not get it")
+def upstream_does_not_get(context):
+    assert not kinds(context, outputs.ToUpstream), context.outs
+
+
+@then('the opening is declined as "{reason}"')
+def declined(context, reason):
+    found = messages(context, reports.Declined)
+    assert [m.reason for m in found] == [reason], context.outs
+    assert not kinds(context, outputs.ToUpstream)
+
+
+@then("the balancer is told that the flow is not held")
+def told_not_held(context):
+    assert [m.key for m in messages(context, reports.NotHeld)] == [context.key]
+
+
+@then("the balancer is told that the flow is held")
+def told_held(context):
+    assert [m.key for m in messages(context, reports.Held)] == [context.key]
+
+
+@then("the caller gets a reset near its acknowledgement {ack:d}")
+def reset_near(context, ack):
+    (reset,) = kinds(context, outputs.Reset)
+    assert reset.key == context.open_key
+    assert abs(reset.seq - ack) < segments.SEQUENCE_WINDOW
+
+
+@then("the caller of the open flow gets a reset")
+def open_flow_reset(context):
+    found = [o.key for o in kinds(context, outputs.Reset)]
+    assert found == [context.open_key], found
+
+
+@then("the agent sends no reset")
+def no_reset(context):
+    assert not kinds(context, outputs.Reset)
+
+
+@then("the agent reports that it takes no flows")
+def reports_closed(context):
+    assert messages(context, reports.LoadReport)[-1].accepting is False
+
+
+@then("the agent reports that it takes flows")
+def reports_open(context):
+    assert messages(context, reports.LoadReport)[-1].accepting is True
+
+
+@then("no request is in progress")
+def none_in_progress(context):
+    assert context.core.load.in_progress == 0
+
+
+@then("the mean service time is between {low:d} and {high:d} ms")
+def mean_service(context, low, high):
+    assert low <= context.core.load.service_ms <= high
--- /dev/null
+++ b/features/steps/forward_balancer_steps.py
@@ -0,0 +1,331 @@
+import random
+
+from behave import given
+from behave import then
+from behave import when
+
+from crocusmux.core.forward import balancer
+from crocusmux.core.forward import outputs
+from crocusmux.core.forward import reports
+from crocusmux.core.forward import routes
+from crocusmux.core.forward import segments
+from crocusmux.core.forward import upstreams
+
+ROUNDS = ("198.18.0.1", 443)
+OWN = ("10.0.0.9", 7720)
+CALLER = b"\x64\x40\x00\x07"
+
+
+def record(host, service, ip):
+    control = (ip, 7720)
+    return upstreams.Record(host, service, "abay", (ip, 8172), control)
+
+
+def configuration(version, with_routes=True):
+    route = routes.Route(
+        "bookings", ROUNDS, (("rounds", 1),), 2.0, 0.2, 1, False
+    )
+    return routes.Configuration(version, (route,) if with_routes else ())
+
+
+def report(host, service="rounds", sequence=1, **changes):
+    values = {
+        "host": host,
+        "service": service,
+        "boot": 1,
+        "sequence": sequence,
+        "accepting": True,
+        "slots": 2,
+        "in_progress": 0.5,
+        "flows": 10,
+        "service_ms": 30.0,
+        "offers": 0,
+        "config_version": 5,
+        "config_source": "",
+    }
+    return reports.LoadReport(**{**values, **changes})
+
+
+def flow_key(port):
+    return CALLER + port.to_bytes(2, "big") + routes.route_bytes(ROUNDS)
+
+
+def segment(key, opening=False, ack=0, length=0):
+    return segments.Segment(
+        key, True, opening, not opening, False, False, False,
+        1000, ack, length, 0, 0, b"",
+    )  # fmt: skip
+
+
+def offers(outs):
+    return [
+        o for o in outs if isinstance(o, outputs.ToAgent) and o.segment.opening
+    ]
+
+
+def resets(context):
+    return [o for o in context.outs if isinstance(o, outputs.Reset)]
+
+
+def host_at(context, address):
+    found = context.core.directory.all()
+    (one,) = [x for x in found if x.record.address == address]
+    return one.record.host
+
+
+def offered_hosts(context):
+    return [host_at(context, o.to) for o in offers(context.outs)]
+
+
+def start(context):
+    context.now = 100.0
+    context.sequence = 1
+    context.outs = []
+    context.core = balancer.BalancerCore(
+        "edge-1", "abay", OWN, "10.0.0.9:8166", random.Random(1)
+    )
+    context.core.configure(configuration(5))
+
+
+def report_all(context, hosts, **changes):
+    context.sequence += 1
+    for host in hosts:
+        service = context.core.directory.get(host).record.service
+        context.core.on_message(
+            context.now,
+            report(host, service, context.sequence, **changes),
+        )
+
+
+@given("a balancer with the agents a, b, c of rounds and d of wheelbook")
+def balancer_with_agents(context):
+    start(context)
+    for number, host in enumerate("abcd", 1):
+        service = "wheelbook" if host == "d" else "rounds"
+        context.core.add_agent(
+            context.now, record(host, service, f"10.0.1.{number}")
+        )
+    report_all(context, "abcd")
+
+
+@given("a balancer with a route but without reports")
+def balancer_without_reports(context):
+    start(context)
+    context.core.add_agent(context.now, record("a", "rounds", "10.0.1.1"))
+
+
+@given("agent a takes 60 ms for a request and the others 20 ms")
+def uneven_agents(context):
+    report_all(context, "a", service_ms=60.0)
+    report_all(context, "bcd", service_ms=20.0)
+
+
+@when("a caller opens a flow to rounds")
+def open_flow(context):
+    context.key = flow_key(40001)
+    seg = segment(context.key, opening=True)
+    context.outs = context.core.on_segment(context.now, seg)
+    context.offered = offered_hosts(context)
+
+
+@when("{count:d} callers open flows to rounds")
+def open_flows(context, count):
+    context.outs = []
+    for port in range(count):
+        seg = segment(flow_key(30000 + port), opening=True)
+        context.outs += context.core.on_segment(context.now, seg)
+        if port % 10 == 9:
+            # Flows are reported, so that no agent looks busier by these.
+            counts = {}
+            for host in offered_hosts(context):
+                counts[host] = counts.get(host, 0) + 1
+            for host, number in counts.items():
+                known = context.core.directory.get(host).report
+                context.sequence += 1
+                changed = report(
+                    host,
+                    sequence=context.sequence,
+                    offers=number,
+                    service_ms=known.service_ms,
+                )
+                context.core.on_message(context.now, changed)
+
+
+@when("all agents report other loads")
+def other_loads(context):
+    for number, host in enumerate("abcd"):
+        report_all(context, host, in_progress=float(number))
+
+
+@when("the caller sends {count:d} segments")
+def send_segments(context, count):
+    context.outs = []
+    for _ in range(count):
+        seg = segment(context.key, ack=77_000, length=100)
+        context.outs += context.core.on_segment(context.now, seg)
+
+
+@when("a segment of an unknown flow to rounds arrives")
+def unknown_segment(context):
+    context.key = flow_key(40002)
+    seg = segment(context.key, ack=77_000, length=100)
+    context.outs = context.core.on_segment(context.now, seg)
+
+
+@when("agent {host} answers that it holds the flow")
+def answer_held(context, host):
+    context.core.on_message(context.now, reports.Held(host, context.key))
+
+
+@when("agents {hosts} answer that they do not hold the flow")
+def answer_not_held(context, hosts):
+    for host in hosts.split(", "):
+        message = reports.NotHeld(host, context.key)
+        context.outs += context.core.on_message(context.now, message)
+
+
+@when("the agent that was offered the flow answers that it does not hold it")
+def holder_denies(context):
+    message = reports.NotHeld(context.offered[0], context.key)
+    context.outs = context.core.on_message(context.now, message)
+
+
+@when("the agent that was offered the flow declines it")
+def holder_declines(context):
+    message = reports.Declined(context.offered[0], context.key, "overload")
+    context.outs = context.core.on_message(context.now, message)
+
+
+@when("every agent that is offered the flow declines it")
+def all_decline(context):
+    for _ in range(10):
+        hosts = offered_hosts(context)
+        if not hosts:
+            return
+        message = reports.Declined(hosts[0], context.key, "overload")
+        context.outs = context.core.on_message(context.now, message)
+    raise AssertionError("the flow is offered without end")
+
+
+@when("the caller repeats its opening after {seconds:g} s")
+def repeat_opening(context, seconds):
+    context.now += seconds
+    seg = segment(context.key, opening=True, ack=1)
+    context.outs = context.core.on_segment(context.now, seg)
+    context.offered += offered_hosts(context)
+
+
+@when("agent a stays silent for 1.5 s while others report")
+def one_silent(context):
+    context.now += 1.5
+    report_all(context, "bcd")
+
+
+@when("agent a reports that it takes flows")
+def agent_reports(context):
+    context.outs = context.core.on_message(context.now, report("a"))
+
+
+@when("{seconds:g} s pass")
+def time_passes(context, seconds):
+    context.now += seconds
+    context.outs = context.core.on_timer(context.now)
+
+
+@when("a configuration of an {age} version without routes arrives")
+@when("a configuration of a {age} version without routes arrives")
+def empty_configuration(context, age):
+    version = {"older": 4, "newer": 6}[age]
+    context.core.configure(configuration(version, with_routes=False))
+
+
+@when("an agent e of wheelbook announces itself at the address of a")
+def reused_address(context):
+    context.core.add_agent(context.now, record("e", "wheelbook", "10.0.1.1"))
+    report_all(context, "e")
+
+
+@then("one agent of rounds is offered the flow")
+def one_offer(context):
+    hosts = offered_hosts(context)
+    assert len(hosts) == 1 and hosts[0] in "abc", hosts
+
+
+@then("they all go to the agent that was offered the flow")
+def to_offered(context):
+    sent = [host_at(context, o.to) for o in context.outs]
+    assert set(sent) == set(context.offered) and len(sent) == 20, sent
+
+
+@then("they all go to agent {host}")
+def to_agent(context, host):
+    sent = [host_at(context, o.to) for o in context.outs]
+    assert sent == [host] * 3, sent
+
+
+@then("the agents a, b, c are asked for it")
+def agents_asked(context):
+    sent = [o for o in context.outs if isinstance(o, outputs.ToAgent)]
+    assert [host_at(context, o.to) for o in sent] == ["a", "b", "c"]
+    assert all(o.mark == segments.MARK_ASKING for o in sent)
+
+
+@then("both offered agents are asked for it")
+def offered_asked(context):
+    sent = [o for o in context.outs if isinstance(o, outputs.ToAgent)]
+    assert [host_at(context, o.to) for o in sent] == context.offered
+    assert all(o.mark == segments.MARK_ASKING for o in sent)
+
+
+@then("the caller gets no reset")
+def no_reset(context):
+    assert not resets(context)
+
+
+@then("the caller gets a reset")
+def one_reset(context):
+    assert [o.key for o in resets(context)] == [context.key], context.outs
+
+
+@then("the caller gets a reset near its acknowledgement")
+def reset_in_window(context):
+    (reset,) = resets(context)
+    assert reset.key == context.key
+    assert abs(reset.seq - 77_000) < segments.SEQUENCE_WINDOW
+
+
+@then("another agent of rounds is offered the flow")
+def another_offer(context):
+    hosts = offered_hosts(context)
+    assert len(hosts) == 1 and hosts[0] not in context.offered, hosts
+    assert hosts[0] in "abc"
+
+
+@then("two different agents were offered the flow")
+def two_offers(context):
+    assert len(set(context.offered)) == 2, context.offered
+
+
+@then("agent {host} is offered none of them")
+@then("agents {host} are offered none of them")
+def offered_none(context, host):
+    hosts = offered_hosts(context)
+    assert len(hosts) == 200, len(hosts)
+    assert not set(host.split(", ")) & set(hosts)
+
+
+@then("no agent is offered the flow and the caller gets no reset")
+def waits(context):
+    assert not offers(context.outs) and not resets(context)
+
+
+@then("agent a is offered the flow")
+def offered_to_a(context):
+    assert offered_hosts(context) == ["a"], context.outs
+
+
+@then("agent a is offered between {low:d} and {high:d} percent of them")
+def share_of_a(context, low, high):
+    hosts = offered_hosts(context)
+    share = 100 * hosts.count("a") / len(hosts)
+    assert low <= share <= high, share
