--- a/crocusmux/daemons/follow.py
+++ b/crocusmux/daemons/follow.py
@@ -82,6 +82,9 @@
             logger.warning(
                 "event=store-lost kind=%s error=%r", self._kind, str(exc)
             )
+        # A watch that starts again at the old revision may wait although the
+        # store has dropped changes since then, so everything is listed.
+        self._revision = None
         wait = min(calls.backoff_s(self._failures, self._rng), RETRY_MAX_S)
         self._failures += 1
         await asyncio.sleep(wait)
