--- a/crocusmux/core/forward/balancer.py
+++ b/crocusmux/core/forward/balancer.py
@@ -10,7 +10,7 @@
 from crocusmux.core.forward import selection
 from crocusmux.core.forward import upstreams
 
-TICK_S = 0.1
+TICK_S = 0.05
 # Agents are asked for reports so often, seconds; they report for 10 s.
 SUBSCRIBE_S = 2.0
 EXPIRE_S = 1.0
@@ -26,6 +26,13 @@
 MAX_OFFERS = 4
 # Agents asked at once for an unknown flow.
 ASKED_AT_ONCE = 8
+# An unknown flow is looked for again after this time, seconds: longer than
+# the store's watch takes to show an agent that has just started.
+LOOK_AGAIN_S = 0.06
+# Times an unknown flow is looked for before its next segment arrives.
+MAX_LOOKS = 4
+# Looks in which all agents must deny a flow before it counts as lost.
+LOOKS_TO_LOSE = 2
 
 Outputs = list[outputs.Output]
 
@@ -68,6 +75,7 @@
         self._config_source = config_source
         self._rng = rng
         self._waiting: dict[bytes, flows.Flow] = {}
+        self._looked_for: dict[bytes, flows.Flow] = {}
         self._subscribe_at = 0.0
         self._expire_at = 0.0
 
@@ -87,7 +95,7 @@
 
     def add_agent(self, now: float, record: upstreams.Record) -> Outputs:
         """Adds an agent or replaces its record, and asks it for reports."""
-        if not self.directory.put(record):
+        if not self.directory.put(now, record):
             return []
         detail = f"agent={record.host} service={record.service}"
         return [
@@ -119,9 +127,7 @@
             return self._on_opening(now, seg, flow)
         if flow is None:
             return self._on_unknown(now, seg)
-        flow.open = True
-        flow.ack = seg.ack
-        flow.data_sent = seg.length > 0
+        flow.note(seg)
         if flow.holder:
             return self._to_holder(seg, flow)
         if flow.offered:
@@ -204,8 +210,7 @@
         if route is None:
             return [outputs.Reset(seg.key, seg.ack)]
         flow = self.flows.add(now, seg.key)
-        flow.open = True
-        flow.ack = seg.ack
+        flow.note(seg)
         return self._ask(now, seg, flow)
 
     def _to_holder(self, seg: segments.Segment, flow: flows.Flow) -> Outputs:
@@ -233,15 +238,19 @@
         self, now: float, seg: segments.Segment, flow: flows.Flow
     ) -> Outputs:
         """Sends a segment to all agents that may hold its flow."""
-        route = self.routes.find(seg.key)
-        if route is None:
+        agents = self._candidates(seg.key)
+        if agents is None:
             return [outputs.Reset(seg.key, seg.ack)]
-        agents = self.directory.of(route.services())
         left = [x for x in agents if x.record.host not in flow.denied]
         if len(left) > ASKED_AT_ONCE:
             left = upstreams.ranked(seg.key, left)[:ASKED_AT_ONCE]
         return self._ask_agents(now, seg, flow, left)
 
+    def _candidates(self, key: bytes) -> list[upstreams.Upstream] | None:
+        """Returns all agents that may hold a flow; None without a route."""
+        route = self.routes.find(key)
+        return None if route is None else self.directory.of(route.services())
+
     def _ask_agents(
         self,
         now: float,
@@ -252,6 +261,8 @@
         first = not flow.asked
         flow.last = seg
         flow.asked.update(one.record.host for one in agents)
+        flow.asked_at = now
+        self._looked_for[seg.key] = flow
         sent: Outputs = [
             outputs.ToAgent(
                 one.record.address, seg, one.tag, segments.MARK_ASKING
@@ -263,6 +274,29 @@
             sent.append(outputs.Event("ask", seg.key, detail))
         return sent
 
+    def _look_again(self, now: float) -> Outputs:
+        """Asks again for flows that no agent has claimed."""
+        sent: Outputs = []
+        for key, flow in list(self._looked_for.items()):
+            if now - flow.asked_at < LOOK_AGAIN_S:
+                continue
+            if flow.holder or flow.last is None or flow.looks >= MAX_LOOKS:
+                del self._looked_for[key]
+                continue
+            flow.looks += 1
+            flow.denied.clear()
+            sent += self._ask(now, flow.last, flow)
+        return sent
+
+    def _denied_by_all(self, now: float, key: bytes, flow: flows.Flow) -> bool:
+        """Returns True if no agent that may live can hold a flow."""
+        if flow.looks + 1 < LOOKS_TO_LOSE:
+            return False
+        return all(
+            one.record.host in flow.denied or one.lost(now)
+            for one in self._candidates(key) or ()
+        )
+
     # Messages
 
     def on_message(self, now: float, message: reports.Message) -> Outputs:
@@ -317,7 +351,7 @@
             return []
         flow.holder = message.host
         flow.last = flow.opening = None
-        flow.denied.clear()
+        self._looked_for.pop(message.key, None)
         detail = f"agent={message.host}"
         return [outputs.Event("held", message.key, detail)]
 
@@ -325,19 +359,33 @@
         flow = self.flows.get(message.key)
         if flow is None:
             return []
-        if flow.holder == message.host:
-            # The upstream that had the flow has lost it; it is nowhere else.
-            self.flows.remove(message.key)
-            if not flow.data_sent:
-                # A late acknowledgement of a flow that has ended.
-                return []
-            detail = f"agent={message.host} ack={flow.ack}"
-            return [
-                outputs.Event("flow-lost", message.key, detail, True),
-                outputs.Reset(message.key, flow.ack),
-            ]
         flow.denied.add(message.host)
-        return []
+        former = flow.holder == message.host
+        if not former and (
+            flow.holder or not self._denied_by_all(now, message.key, flow)
+        ):
+            return self._ask_others(now, flow)
+        # The upstream that had the flow has lost it, or nobody has it.
+        self.flows.remove(message.key)
+        self._looked_for.pop(message.key, None)
+        if not flow.data_sent:
+            # A late acknowledgement of a flow that has ended.
+            return []
+        reason = "lost-by-holder" if former else "denied-by-all"
+        detail = f"reason={reason} agent={message.host} looks={flow.looks}"
+        return [
+            outputs.Event("flow-lost", message.key, detail, True),
+            outputs.Reset(message.key, flow.ack),
+        ]
+
+    def _ask_others(self, now: float, flow: flows.Flow) -> Outputs:
+        """Asks the agents beyond the first ones once those have denied."""
+        if flow.holder or flow.last is None or not flow.asked <= flow.denied:
+            return []
+        agents = self._candidates(flow.last.key) or []
+        if all(one.record.host in flow.denied for one in agents):
+            return []
+        return self._ask(now, flow.last, flow)
 
     # Time
 
@@ -351,6 +399,7 @@
             self._expire_at = now + EXPIRE_S
             idle = self.routes.idle_s + IDLE_SLACK_S
             self.flows.expire(now - idle)
+        sent += self._look_again(now)
         for key, flow in list(self._waiting.items()):
             if now - flow.opened_at >= WAIT_S:
                 del self._waiting[key]
--- a/crocusmux/core/forward/flows.py
+++ b/crocusmux/core/forward/flows.py
@@ -16,7 +16,9 @@
         offered: Hosts that got its opening and did not decline, in order.
         declined: Hosts that declined it.
         asked: Hosts that were asked whether they hold it.
-        denied: Hosts that answered that they do not.
+        asked_at: Time at which they were asked last, seconds.
+        denied: Hosts that answered that they do not, since that time.
+        looks: Times it was looked for again.
         opening: The caller's SYN while the flow is not open.
         last: The newest segment while the holder is not known.
         ack: The caller's last acknowledgement.
@@ -30,11 +32,13 @@
     __slots__ = (
         "ack",
         "asked",
+        "asked_at",
         "data_sent",
         "declined",
         "denied",
         "holder",
         "last",
+        "looks",
         "offered",
         "offered_at",
         "open",
@@ -50,6 +54,8 @@
         self.offered: list[str] = []
         self.declined: set[str] = set()
         self.asked: set[str] = set()
+        self.asked_at = now
+        self.looks = 0
         self.denied: set[str] = set()
         self.opening: segments.Segment | None = None
         self.last: segments.Segment | None = None
@@ -60,6 +66,12 @@
         self.data_sent = False
         self.open = False
 
+    def note(self, seg: segments.Segment) -> None:
+        """Takes what a segment after the opening says."""
+        self.open = True
+        self.ack = seg.ack
+        self.data_sent = seg.length > 0
+
 
 class FlowTable:
     """Flows of a balancer by key, the least recently added first."""
--- a/crocusmux/core/forward/upstreams.py
+++ b/crocusmux/core/forward/upstreams.py
@@ -40,6 +40,7 @@
 
     Attributes:
         record: What the agent announced.
+        added_at: Time at which it became known, seconds.
         tag: Hash of the service name, as it travels with segments.
         report: Its newest load report; None before the first.
         reported_at: Time of that report, seconds; negative infinity before.
@@ -49,6 +50,7 @@
     """
 
     __slots__ = (
+        "added_at",
         "declined",
         "offered",
         "paused_until",
@@ -58,8 +60,9 @@
         "tag",
     )
 
-    def __init__(self, record: Record) -> None:
+    def __init__(self, now: float, record: Record) -> None:
         self.record = record
+        self.added_at = now
         self.tag = service_tag(record.service)
         self.report: reports.LoadReport | None = None
         self.reported_at = float("-inf")
@@ -77,6 +80,10 @@
         """Returns the time since its last report, seconds."""
         return now - self.reported_at
 
+    def lost(self, now: float) -> bool:
+        """Returns True if it has been silent for so long that it is dead."""
+        return now - max(self.reported_at, self.added_at) > LOST_S
+
     def accepts(self, now: float) -> bool:
         """Returns True if it reports and takes new flows."""
         return (
@@ -96,7 +103,7 @@
         self._by_host: dict[str, Upstream] = {}
         self._by_service: dict[str, list[Upstream]] = {}
 
-    def put(self, record: Record) -> bool:
+    def put(self, now: float, record: Record) -> bool:
         """Adds an agent or replaces what is known of it.
 
         Returns:
@@ -111,7 +118,7 @@
         for other in list(self._by_host.values()):
             if other.record.address == record.address:
                 self.remove(other.record.host)
-        upstream = Upstream(record)
+        upstream = Upstream(now, record)
         self._by_host[record.host] = upstream
         self._by_service.setdefault(record.service, []).append(upstream)
         return True
--- a/features/forward_balancer.feature
+++ b/features/forward_balancer.feature
@@ -30,6 +30,36 @@
     And agents a, c answer that they do not hold the flow
     Then the caller gets no reset
 
+  # Guards against callers that wait for a flow that died with its host: after
+  # a loss of power no agent remembers it.
+  Scenario: A flow that all agents deny twice is reset
+    Given a balancer with the agents a, b, c of rounds and d of wheelbook
+    When a segment of an unknown flow to rounds arrives
+    And agents a, b, c answer that they do not hold the flow
+    Then the caller gets no reset
+    When 0.1 s pass
+    Then the agents a, b, c are asked for it
+    When agents a, b, c answer that they do not hold the flow
+    Then the caller gets a reset near its acknowledgement
+
+  # Guards against FLOW (a): an agent that is cut off may hold the flow.
+  Scenario: A flow is not reset while an agent of its service is silent
+    Given a balancer with the agents a, b, c of rounds and d of wheelbook
+    When agent a stays silent for 1.5 s while others report
+    And a segment of an unknown flow to rounds arrives
+    And 0.1 s pass
+    And agents b, c answer that they do not hold the flow
+    Then the caller gets no reset
+
+  # Guards against callers that wait for a host that is lost for good.
+  Scenario: A flow is reset once the silent agent counts as lost
+    Given a balancer with the agents a, b, c of rounds and d of wheelbook
+    When agent a stays silent for 4.5 s while others report
+    And a segment of an unknown flow to rounds arrives
+    And 0.1 s pass
+    And agents b, c answer that they do not hold the flow
+    Then the caller gets a reset near its acknowledgement
+
   # Guards against callers that wait for a flow which its upstream has lost.
   Scenario: A flow that its holder denies is reset
     Given a balancer with the agents a, b, c of rounds and d of wheelbook
--- a/features/steps/forward_balancer_steps.py
+++ b/features/steps/forward_balancer_steps.py
@@ -215,9 +215,9 @@
     context.offered += offered_hosts(context)
 
 
-@when("agent a stays silent for 1.5 s while others report")
-def one_silent(context):
-    context.now += 1.5
+@when("agent a stays silent for {seconds:g} s while others report")
+def one_silent(context, seconds):
+    context.now += seconds
     report_all(context, "bcd")
 
 
