--- a/crocusmux/core/forward/agent.py
+++ b/crocusmux/core/forward/agent.py
@@ -23,8 +23,9 @@
 # time after which either end may forget them.
 FLOW_IDLE_S = 20.0
 MAX_FLOWS = 20_000
-# New flows are declined while so many requests wait for each slot.
-WAITING_A_SLOT = 4
+# New flows are declined while so many requests wait for each slot: they wait
+# at the balancers instead, where urgent ones go first.
+WAITING_A_SLOT = 2
 
 Outputs = list[outputs.Output]
 Address = tuple[str, int]
--- a/crocusmux/core/forward/balancer.py
+++ b/crocusmux/core/forward/balancer.py
@@ -3,6 +3,7 @@
 import random
 
 from crocusmux.core.forward import flows
+from crocusmux.core.forward import openings
 from crocusmux.core.forward import outputs
 from crocusmux.core.forward import reports
 from crocusmux.core.forward import routes
@@ -19,11 +20,16 @@
 # An opening without SYN+ACK is offered to another upstream after this time,
 # when the caller repeats it, seconds.
 UNANSWERED_S = 0.15
-# A new flow that no upstream takes waits for one so long at most, seconds.
-# The caller repeats its SYN after 0.2 s and 0.6 s and gives up after 1.4 s.
-WAIT_S = 0.7
-# Upstreams to which one new flow is offered at most.
-MAX_OFFERS = 4
+# An assumed holder that has not denied a flow for this time holds it, seconds.
+CONFIRMED_S = 1.0
+# Upstreams to which a new flow is offered in one turn, at most.
+MAX_OFFERS = 3
+# Reasons to decline that may pass within the patience of a caller.
+PASSING = (
+    reports.DECLINED_OVERLOAD,
+    reports.DECLINED_BY_UPSTREAM,
+    reports.DECLINED_UNKNOWN_STATE,
+)
 # Agents asked at once for an unknown flow.
 ASKED_AT_ONCE = 8
 # An unknown flow is looked for again after this time, seconds: longer than
@@ -74,7 +80,7 @@
         self._address = address
         self._config_source = config_source
         self._rng = rng
-        self._waiting: dict[bytes, flows.Flow] = {}
+        self._openings = openings.Openings()
         self._looked_for: dict[bytes, flows.Flow] = {}
         self._subscribe_at = 0.0
         self._expire_at = 0.0
@@ -87,10 +93,11 @@
         if not self.routes.offer(cfg):
             return []
         detail = f"version={cfg.version} before={before}"
+        detail += f" routes={len(cfg.routes)}"
+        # The agents pass the version on to balancers that miss the change.
         return [
-            outputs.Event(
-                "configure", b"", f"{detail} routes={len(cfg.routes)}", True
-            )
+            outputs.Event("configure", b"", detail, True),
+            *self._subscribe(),
         ]
 
     def add_agent(self, now: float, record: upstreams.Record) -> Outputs:
@@ -129,7 +136,7 @@
             return self._on_unknown(now, seg)
         flow.note(seg)
         if flow.holder:
-            return self._to_holder(seg, flow)
+            return self._to_holder(now, seg, flow)
         if flow.offered:
             return self._to_offered(now, seg, flow)
         return self._ask(now, seg, flow)
@@ -170,20 +177,21 @@
     def _place(
         self, now: float, seg: segments.Segment, flow: flows.Flow
     ) -> Outputs:
-        tried = {*flow.offered, *flow.declined}
+        """Offers a new flow to the best upstream that has not had it."""
+        tried = {*flow.offered, *flow.busy, *flow.declined}
         candidates = [
             one
             for one in self.directory.of((flow.service,))
             if one.record.host not in tried
         ]
         chosen = None
-        if len(tried) < MAX_OFFERS:
+        if len(flow.offered) + len(flow.busy) < MAX_OFFERS:
             chosen = selection.choose(
                 now, candidates, self._failure_domain, self._rng
             )
         if chosen is None:
             return self._on_no_upstream(now, seg, flow)
-        self._waiting.pop(seg.key, None)
+        self._openings.remove(seg.key)
         flow.offered.append(chosen.record.host)
         flow.offered_at = now
         chosen.offered += 1
@@ -196,12 +204,22 @@
             # An upstream may still answer; the caller repeats its SYN.
             upstream = self.directory.get(flow.offered[-1])
             return [_offer(seg, upstream)] if upstream else []
-        if now - flow.opened_at < WAIT_S and not flow.declined:
-            self._waiting[seg.key] = flow
+        route = self.routes.find(seg.key)
+        agents = self.directory.of((flow.service,))
+        hopeless = self.directory.complete and all(
+            one.lost(now) for one in agents
+        )
+        if route is None or hopeless:
+            return self._give_up(seg.key, flow, "no-upstream")
+        waiting = openings.Waiting(seg.key, flow, route)
+        if self._openings.add(now, waiting):
             return []
-        self.flows.remove(seg.key)
-        self._waiting.pop(seg.key, None)
-        return self._refuse(seg.key, "no-upstream-takes-it", flow)
+        return self._give_up(seg.key, flow, "no-upstream-in-time")
+
+    def _give_up(self, key: bytes, flow: flows.Flow, reason: str) -> Outputs:
+        self._openings.remove(key)
+        self.flows.remove(key)
+        return self._refuse(key, reason, flow)
 
     def _on_unknown(self, now: float, seg: segments.Segment) -> Outputs:
         if seg.reset or self.routes.version == 0:
@@ -213,11 +231,16 @@
         flow.note(seg)
         return self._ask(now, seg, flow)
 
-    def _to_holder(self, seg: segments.Segment, flow: flows.Flow) -> Outputs:
+    def _to_holder(
+        self, now: float, seg: segments.Segment, flow: flows.Flow
+    ) -> Outputs:
         upstream = self.directory.get(flow.holder)
         if upstream is None:
             flow.holder = ""
-            return []
+            return self._ask(now, seg, flow)
+        # Kept for the case that the assumed holder denies the flow.
+        confirmed = now - flow.held_at > CONFIRMED_S
+        flow.last = None if confirmed or seg.final else seg
         address = upstream.record.address
         return [
             outputs.ToAgent(address, seg, upstream.tag, segments.MARK_DIRECT)
@@ -229,8 +252,9 @@
         """Sends the first segment after the opening to whom it was offered."""
         if len(flow.offered) == 1:
             flow.holder = flow.offered[0]
+            flow.held_at = now
             flow.opening = None
-            return self._to_holder(seg, flow)
+            return self._to_holder(now, seg, flow)
         known = [self.directory.get(host) for host in flow.offered]
         return self._ask_agents(now, seg, flow, [x for x in known if x])
 
@@ -306,7 +330,7 @@
         if isinstance(message, reports.Declined):
             return self._on_declined(now, message)
         if isinstance(message, reports.Held):
-            return self._on_held(message)
+            return self._on_held(now, message)
         if isinstance(message, reports.NotHeld):
             return self._on_not_held(now, message)
         return []
@@ -328,7 +352,9 @@
 
     def _place_waiting(self, now: float) -> Outputs:
         sent: Outputs = []
-        for flow in list(self._waiting.values()):
+        for one in self._openings.next(now):
+            flow = one.flow
+            flow.busy.clear()
             if flow.opening is not None:
                 sent += self._place(now, flow.opening, flow)
         return sent
@@ -339,17 +365,21 @@
         if flow is None or flow.open or message.host not in flow.offered:
             return []
         flow.offered.remove(message.host)
-        flow.declined.add(message.host)
+        if message.reason in PASSING:
+            flow.busy.add(message.host)
+        else:
+            flow.declined.add(message.host)
         sent: Outputs = [outputs.Event("declined", message.key, detail)]
         if flow.opening is None:
             return sent
         return sent + self._place(now, flow.opening, flow)
 
-    def _on_held(self, message: reports.Held) -> Outputs:
+    def _on_held(self, now: float, message: reports.Held) -> Outputs:
         flow = self.flows.get(message.key)
         if flow is None:
             return []
         flow.holder = message.host
+        flow.held_at = now
         flow.last = flow.opening = None
         self._looked_for.pop(message.key, None)
         detail = f"agent={message.host}"
@@ -361,11 +391,21 @@
             return []
         flow.denied.add(message.host)
         former = flow.holder == message.host
+        if former and now - flow.held_at <= CONFIRMED_S:
+            # It was only assumed to hold the flow: another balancer may have
+            # offered a copy of the opening elsewhere.
+            flow.holder = ""
+            return self._ask(now, flow.last, flow) if flow.last else []
         if not former and (
             flow.holder or not self._denied_by_all(now, message.key, flow)
         ):
             return self._ask_others(now, flow)
-        # The upstream that had the flow has lost it, or nobody has it.
+        return self._lost(message, flow, former)
+
+    def _lost(
+        self, message: reports.NotHeld, flow: flows.Flow, former: bool
+    ) -> Outputs:
+        """Ends a flow that its holder has lost, or that nobody has."""
         self.flows.remove(message.key)
         self._looked_for.pop(message.key, None)
         if not flow.data_sent:
@@ -400,11 +440,9 @@
             idle = self.routes.idle_s + IDLE_SLACK_S
             self.flows.expire(now - idle)
         sent += self._look_again(now)
-        for key, flow in list(self._waiting.items()):
-            if now - flow.opened_at >= WAIT_S:
-                del self._waiting[key]
-                self.flows.remove(key)
-                sent += self._refuse(key, "no-upstream-in-time", flow)
+        for one in self._openings.expired(now):
+            sent += self._give_up(one.key, one.flow, "no-upstream-in-time")
+        sent += self._place_waiting(now)
         return sent
 
     def _subscribe(self) -> Outputs:
@@ -444,7 +482,8 @@
     ) -> Outputs:
         detail = f"reason={reason} config={self.routes.version}"
         if flow is not None:
-            detail += f" service={flow.service} declined={len(flow.declined)}"
+            detail += f" service={flow.service}"
+            detail += f" busy={len(flow.busy)} declined={len(flow.declined)}"
         return [
             outputs.Event("refuse", key, detail, True),
             outputs.Reset(key, 0),
--- a/crocusmux/core/forward/flows.py
+++ b/crocusmux/core/forward/flows.py
@@ -12,9 +12,11 @@
 
     Attributes:
         service: Service that it was opened for; empty if it was looked up.
+        held_at: Time since which that agent is taken to hold it, seconds.
         holder: Host of the agent that holds it; empty if not known.
         offered: Hosts that got its opening and did not decline, in order.
-        declined: Hosts that declined it.
+        busy: Hosts that had no room for it in this turn.
+        declined: Hosts that declined it for good.
         asked: Hosts that were asked whether they hold it.
         asked_at: Time at which they were asked last, seconds.
         denied: Hosts that answered that they do not, since that time.
@@ -33,9 +35,11 @@
         "ack",
         "asked",
         "asked_at",
+        "busy",
         "data_sent",
         "declined",
         "denied",
+        "held_at",
         "holder",
         "last",
         "looks",
@@ -52,6 +56,8 @@
         self.service = ""
         self.holder = ""
         self.offered: list[str] = []
+        self.held_at = now
+        self.busy: set[str] = set()
         self.declined: set[str] = set()
         self.asked: set[str] = set()
         self.asked_at = now
--- /dev/null
+++ b/crocusmux/core/forward/openings.py
@@ -0,0 +1,90 @@
+"""New flows that wait for an upstream: who waits, in which order, how long.
+
+A caller that gets a reset tries again at once and has few tries, so a flow
+waits while an upstream may still take it within its caller's patience.
+"""
+
+from crocusmux.core.forward import flows
+from crocusmux.core.forward import routes
+
+# A caller repeats its SYN after 0.2 s and 0.6 s and gives up after 1.4 s
+# (source: the platform's protocol).
+PATIENCE_S = 1.3
+# A flow waits for this share of its caller's time budget at most; the rest is
+# left for the request itself.
+BUDGET_SHARE = 0.6
+# A flow that waits longer than this share of its route's response-time goal
+# will miss the goal, as its request takes the rest.
+GOAL_SHARE = 0.6
+# Waiting flows that are offered again in one turn.  Upstreams that are full
+# decline within 2 ms, so this bounds the messages of an overload.
+OFFERS_A_TURN = 8
+MAX_WAITING = 2_000
+
+
+class Waiting:
+    """A new flow that waits.
+
+    Attributes:
+        key: Flow key.
+        flow: The flow.
+        urgency: 0 for the most urgent.
+        goal_until: Time until which its request can still meet its
+            response-time goal, seconds.
+        until: Time at which it is refused, seconds.
+    """
+
+    __slots__ = ("flow", "goal_until", "key", "until", "urgency")
+
+    def __init__(
+        self, key: bytes, flow: flows.Flow, route: routes.Route
+    ) -> None:
+        self.key = key
+        self.flow = flow
+        self.urgency = route.urgency
+        patience = min(PATIENCE_S, BUDGET_SHARE * route.timeout_s)
+        self.goal_until = flow.opened_at + GOAL_SHARE * route.target_s
+        self.until = flow.opened_at + patience
+
+
+class Openings:
+    """The new flows that wait at a balancer."""
+
+    __slots__ = ("_waiting",)
+
+    def __init__(self) -> None:
+        self._waiting: dict[bytes, Waiting] = {}
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    def add(self, now: float, waiting: Waiting) -> bool:
+        """Lets a flow wait; returns False if it cannot wait any longer."""
+        if now >= waiting.until or len(self._waiting) >= MAX_WAITING:
+            return False
+        self._waiting.setdefault(waiting.key, waiting)
+        return True
+
+    def remove(self, key: bytes) -> None:
+        """Forgets a flow that was placed or refused."""
+        self._waiting.pop(key, None)
+
+    def expired(self, now: float) -> list[Waiting]:
+        """Removes and returns the flows that have waited long enough."""
+        found = [one for one in self._waiting.values() if one.until <= now]
+        for one in found:
+            del self._waiting[one.key]
+        return found
+
+    def next(self, now: float) -> list[Waiting]:
+        """Returns the flows to offer now; they wait on until ``remove``.
+
+        Flows that can still meet their response-time goal go first: in an
+        overload the oldest first would make every answer late.  Among equals
+        the more urgent one goes first, then the one that waited longer.
+        """
+        ordered = sorted(
+            self._waiting.values(),
+            key=lambda one: (one.goal_until < now, one.urgency, one.until),
+        )
+        return ordered[:OFFERS_A_TURN]
--- a/crocusmux/core/forward/upstreams.py
+++ b/crocusmux/core/forward/upstreams.py
@@ -95,11 +95,16 @@
 
 
 class Directory:
-    """All agents that a balancer knows, by service."""
+    """All agents that a balancer knows, by service.
 
-    __slots__ = ("_by_host", "_by_service")
+    Attributes:
+        complete: True once all agents in the store have been put.
+    """
+
+    __slots__ = ("_by_host", "_by_service", "complete")
 
     def __init__(self) -> None:
+        self.complete = False
         self._by_host: dict[str, Upstream] = {}
         self._by_service: dict[str, list[Upstream]] = {}
 
--- a/crocusmux/daemons/forward_balancer.py
+++ b/crocusmux/daemons/forward_balancer.py
@@ -154,6 +154,7 @@
             self._do(self.core.add_agent(now, record))
         removed = set(changes.removed)
         if changes.full:
+            self.core.directory.complete = True
             removed = self.core.directory.hosts() - names
         for host in removed:
             self._do(self.core.remove_agent(host))
--- a/features/forward_balancer.feature
+++ b/features/forward_balancer.feature
@@ -65,9 +65,20 @@
     Given a balancer with the agents a, b, c of rounds and d of wheelbook
     When a caller opens a flow to rounds
     And the caller sends 1 segments
+    And 1.2 s pass
     And the agent that was offered the flow answers that it does not hold it
     Then the caller gets a reset near its acknowledgement
 
+  # Guards against FLOW (a): a copy of the opening went through another
+  # balancer, and another agent holds the flow.
+  Scenario: The denial of an agent that is only assumed to hold it resets nothing
+    Given a balancer with the agents a, b, c of rounds and d of wheelbook
+    When a caller opens a flow to rounds
+    And the caller sends 1 segments
+    And the agent that was offered the flow answers that it does not hold it
+    Then the caller gets no reset
+    And the two other agents of rounds are asked for it
+
   # Guards against a refusal while others have room.
   Scenario: A declined flow is offered to another agent
     Given a balancer with the agents a, b, c of rounds and d of wheelbook
@@ -75,13 +86,48 @@
     And the agent that was offered the flow declines it
     Then another agent of rounds is offered the flow
 
-  # Guards against a caller that waits in vain: a reset is a true "not run".
-  Scenario: A flow that all agents decline is refused at once
+  # Guards against tries that a caller uses up at once in a short overload.
+  Scenario: A flow that all agents decline for now waits for room
+    Given a balancer with the agents a, b, c of rounds and d of wheelbook
+    When a caller opens a flow to rounds
+    And every agent that is offered the flow declines it
+    Then no agent is offered the flow and the caller gets no reset
+    When 0.05 s pass
+    Then one agent of rounds is offered the flow
+
+  # Guards against a wait that outlasts the caller: the reset is a true
+  # "not run", while the caller still listens.
+  Scenario: A flow that finds no room within its caller's patience is refused
     Given a balancer with the agents a, b, c of rounds and d of wheelbook
     When a caller opens a flow to rounds
     And every agent that is offered the flow declines it
+    And 1.25 s pass
+    Then the caller gets a reset
+
+  # Guards against a wait for a service that cannot serve.
+  Scenario: A flow to a service without agents is refused at once
+    Given a balancer with a route and a complete list without agents
+    When a caller opens a flow to rounds
     Then the caller gets a reset
 
+  # Guards against refusals by a balancer that has just started.
+  Scenario: A flow waits while the list of agents is not complete
+    Given a balancer with a route and no list of agents
+    When a caller opens a flow to rounds
+    Then no agent is offered the flow and the caller gets no reset
+
+  # Guards against urgent work behind less urgent work.
+  Scenario: Waiting flows are placed by urgency, then by age
+    Given a balancer with the agents a, b, c of rounds and d of wheelbook
+    When flows of urgency 2, 2, 1, 0, 1 wait in this order
+    Then they are offered in the order 4, 3, 5, 1, 2
+
+  # Guards against an overload in which every answer is late.
+  Scenario: Flows that can still meet their goal go before those that cannot
+    Given a balancer with the agents a, b, c of rounds and d of wheelbook
+    When flows of urgency 0, 1, 1, 2 wait in this order
+    Then after 2 of them missed their goal the order is 3, 4, 1, 2
+
   # Guards against a dead upstream that costs a caller its first attempt.
   Scenario: A repeated opening goes to a second agent
     Given a balancer with the agents a, b, c of rounds and d of wheelbook
@@ -110,7 +156,7 @@
   Scenario: A flow that nobody takes in time is refused
     Given a balancer with a route but without reports
     When a caller opens a flow to rounds
-    And 0.8 s pass
+    And 1.25 s pass
     Then the caller gets a reset
 
   # Guards against CONFIG: a configuration that goes back.
--- a/features/steps/forward_balancer_steps.py
+++ b/features/steps/forward_balancer_steps.py
@@ -5,6 +5,8 @@
 from behave import when
 
 from crocusmux.core.forward import balancer
+from crocusmux.core.forward import flows
+from crocusmux.core.forward import openings
 from crocusmux.core.forward import outputs
 from crocusmux.core.forward import reports
 from crocusmux.core.forward import routes
@@ -114,6 +116,17 @@
     context.core.add_agent(context.now, record("a", "rounds", "10.0.1.1"))
 
 
+@given("a balancer with a route and a complete list without agents")
+def balancer_without_agents(context):
+    start(context)
+    context.core.directory.complete = True
+
+
+@given("a balancer with a route and no list of agents")
+def balancer_without_list(context):
+    start(context)
+
+
 @given("agent a takes 60 ms for a request and the others 20 ms")
 def uneven_agents(context):
     report_all(context, "a", service_ms=60.0)
@@ -245,6 +258,41 @@
     report_all(context, "e")
 
 
+@when("flows of urgency {urgencies} wait in this order")
+def flows_wait(context, urgencies):
+    context.waiting = openings.Openings()
+    for number, urgency in enumerate(urgencies.split(", "), 1):
+        route = routes.Route(
+            "r", ROUNDS, (("rounds", 1),), 2.0, 0.2, int(urgency), False
+        )
+        flow = flows.Flow(context.now + number * 0.01)
+        key = flow_key(number)
+        waiting = openings.Waiting(key, flow, route)
+        assert context.waiting.add(context.now, waiting)
+
+
+@then("they are offered in the order {numbers}")
+def offered_in_order(context, numbers):
+    check_order(context, numbers, context.now + 0.11)
+
+
+@then("after {count:d} of them missed their goal the order is {numbers}")
+def offered_after_misses(context, count, numbers):
+    check_order(context, numbers, context.now + count * 0.01 + 0.125)
+
+
+def check_order(context, numbers, now):
+    expected = [flow_key(int(n)) for n in numbers.split(", ")]
+    assert [one.key for one in context.waiting.next(now)] == expected
+
+
+@then("the two other agents of rounds are asked for it")
+def others_asked(context):
+    sent = [o for o in context.outs if isinstance(o, outputs.ToAgent)]
+    hosts = [host_at(context, o.to) for o in sent]
+    assert sorted(hosts + context.offered) == ["a", "b", "c"], hosts
+
+
 @then("one agent of rounds is offered the flow")
 def one_offer(context):
     hosts = offered_hosts(context)
