--- /dev/null
+++ b/features/platform_adapter.feature
@@ -0,0 +1,128 @@
+Feature: The adapter decodes the platform's names and decides nothing
+
+  # Guards against a field that moves: all daemons read the same head.
+  Scenario: A caller's packet is decoded
+    Given a packet of caller 100.64.0.9:1234 to 198.18.7.1:8080 with seq 70000, ack 80000, flags SYN and 5 bytes of data
+    Then its flow is 100.64.0.9:1234>198.18.7.1:8080
+    And it opens a flow with seq 70000, ack 80000 and length 5
+
+  # Guards against MIXED and UNASKED: only echo, pad and BOUNCED may change.
+  Scenario: A packet that is passed on keeps its checksum, fields and data
+    Given a packet of caller 100.64.0.9:1234 to 198.18.7.1:8080 with seq 70000, ack 80000, flags ACK BOUNCED and 5 bytes of data
+    When it is passed on with service tag 4000000000 and mark 1
+    Then only echo, pad and BOUNCED have changed
+
+  # Guards against answers that go to the wrong flow.
+  Scenario: A packet of an upstream belongs to its caller's flow
+    Given a packet of an upstream from 198.18.7.1:8080 to caller 100.64.0.9:1234
+    Then its flow is 100.64.0.9:1234>198.18.7.1:8080
+    And it is not a returned one
+
+  # Guards against a returned packet that counts as an answer.
+  Scenario: A packet that an upstream returns is the caller's
+    Given a packet of caller 100.64.0.9:1234 to 198.18.7.1:8080 with seq 70000, ack 80000, flags SYN BOUNCED and 0 bytes of data
+    When the upstream returns it
+    Then its flow is 100.64.0.9:1234>198.18.7.1:8080
+    And it is a returned one
+
+  # Guards against MIXED: a reset that names another flow.
+  Scenario: A reset goes from the route's address to the caller
+    When the flow 100.64.0.9:1234>198.18.7.1:8080 is reset with seq 77
+    Then the reset has seq 77, checksum 0, no data and belongs to that flow
+
+  # Guards against a crash by bad datagrams.
+  Scenario: Any bytes are a packet or one clear error
+    Then 2000 random datagrams are decoded or refused as malformed
+
+  # Guards against a crash by bad heartbeats, and against changes by them.
+  Scenario Outline: Calls that name no upstream are refused
+    When an upstream calls <method> <path> with <body>
+    Then the call is refused as malformed
+
+    Examples:
+      | method | path                                | body                               |
+      | POST   | /crocusmux/endpoints/i-1/heartbeat  | nothing                            |
+      | POST   | /crocusmux/endpoints/i-1/heartbeat  | []                                 |
+      | POST   | /crocusmux/endpoints/i-1/heartbeat  | a heartbeat without service        |
+      | POST   | /crocusmux/endpoints/i-1/heartbeat  | a heartbeat with sequence "x"      |
+      | POST   | /crocusmux/endpoints/i-1/heartbeat  | a heartbeat with state "sleeping"  |
+      | POST   | /crocusmux/endpoints/i-1/heartbeat  | a heartbeat with address "nowhere" |
+      | POST   | /crocusmux/endpoints/i-1/heartbeat  | a heartbeat with born "yesterday"  |
+      | GET    | /crocusmux/endpoints/i-1/heartbeat  | nothing                            |
+      | POST   | /crocusmux/endpoints/i-1/restart    | nothing                            |
+
+  # Guards against a heartbeat whose fields are mixed up.
+  Scenario: A heartbeat is decoded
+    When an upstream calls POST /crocusmux/endpoints/i-1/heartbeat with a heartbeat with sequence 7
+    Then it is a heartbeat of i-1 with sequence 7 and 4 slots that is ready
+
+  # Guards against routes that lead nowhere.
+  Scenario: A desired state is decoded
+    Given a desired state of version 7 with a route of one service and one of two
+    Then its routes lead to rounds, and to rounds and wheelbook by 90 and 10
+
+  # Guards against a desired state that is half taken.
+  Scenario Outline: A malformed desired state is refused whole
+    Given a desired state whose route has <field> <value>
+    Then it is refused as malformed
+
+    Examples:
+      | field       | value        |
+      | hostname    | "no-address" |
+      | path_prefix | "/x/"        |
+      | service     | 5            |
+      | timeout_ms  | "soon"       |
+
+  # Guards against a start with settings that do not fit.
+  Scenario Outline: Settings with an error are refused with the name of the field
+    Given settings of a side machine in which <field> is <value>
+    Then they are refused with an error that names <word>
+
+    Examples:
+      | field         | value     | word          |
+      | node_name     | missing   | node_name     |
+      | port_range    | "7720"    | port_range    |
+      | platform      | {}        | address       |
+      | machine_class | "spare"   | machine_class |
+      | app           | "nowhere" | nowhere       |
+      | service       | missing   | service       |
+
+  # Guards against settings of a newer platform that stop the start.
+  Scenario: Unknown fields of the settings are ignored
+    Given settings of a side machine in which colour is "blue"
+    Then they are those of an agent of rounds
+
+  # Guards against lists that end after the first page.
+  Scenario: All pages of a list are read
+    Given a store with 8 objects
+    Then a list has 8 objects and the store's revision
+
+  # Guards against changes and deletions that are mixed up.
+  Scenario: A watch tells changes and deletions
+    Given a store with 2 objects
+    When object 1 changes and object 2 is deleted
+    Then a watch from the former revision tells both
+
+  # Guards against a watch that waits for history that is gone.
+  Scenario: A watch of lost history says so
+    Given a store with 2 objects
+    When object 1 changes and the store drops its history
+    Then a watch from the former revision says that history is gone
+
+  # Guards against errors that are mistaken for an empty store.
+  Scenario Outline: A store that refuses raises one error
+    Given a store with 2 objects
+    When the store answers <status> to all calls
+    Then a list raises <error>
+
+    Examples:
+      | status | error                    |
+      | 503    | PlatformUnavailableError |
+      | 429    | RateLimitedError         |
+      | 404    | NotFoundError            |
+
+  # Guards against a second object after a lost answer.
+  Scenario: A write whose answer is lost is found when it is repeated
+    Given a store with 2 objects
+    When the answer to the creation of object 9 is lost
+    Then creating it again raises ConflictError
--- /dev/null
+++ b/features/steps/platform_adapter_steps.py
@@ -0,0 +1,383 @@
+import asyncio
+import ipaddress
+import json
+import random
+
+from behave import given
+from behave import then
+from behave import when
+import msgspec
+
+from crocusmux import errors
+from crocusmux.core.forward import segments
+from crocusmux.platform import desired
+from crocusmux.platform import hosts
+from crocusmux.platform import packets
+from crocusmux.platform import registry
+from crocusmux.platform import store
+from features import loop as paused
+from features import store_standin
+
+FLAGS = {"SYN": 2, "ACK": 64, "FIN": 16, "RST": 4, "BOUNCED": 32}
+
+
+def packet(src, dst, seq, ack, flags, data):
+    (src_ip, sport), (dst_ip, dport) = src, dst
+    return b"".join(
+        [
+            seq.to_bytes(4, "big"),
+            ack.to_bytes(4, "big"),
+            b"\x0b\xad\xca\xfe",
+            dport.to_bytes(2, "big"),
+            ipaddress.IPv4Address(dst_ip).packed,
+            ipaddress.IPv4Address(src_ip).packed,
+            sport.to_bytes(2, "big"),
+            len(data).to_bytes(2, "big"),
+            bytes(4),
+            bytes([flags, 0]),
+            data,
+        ]
+    )
+
+
+def parse(text):
+    ip, _, port = text.partition(":")
+    return ip, int(port)
+
+
+@given(
+    "a packet of caller {src} to {dst} with seq {seq:d}, ack {ack:d},"
+    " flags {flags} and {count:d} bytes of data"
+)
+def caller_packet(context, src, dst, seq, ack, flags, count):
+    bits = sum(FLAGS[name] for name in flags.split())
+    context.data = packet(parse(src), parse(dst), seq, ack, bits, b"x" * count)
+    context.segment = packets.decode_from_caller(context.data)
+
+
+@given("a packet of an upstream from {src} to caller {dst}")
+def upstream_packet(context, src, dst):
+    data = packet(parse(src), parse(dst), 1, 2, FLAGS["ACK"], b"")
+    context.segment = packets.decode_from_upstream(data)
+
+
+@when("it is passed on with service tag {tag:d} and mark {mark:d}")
+def passed_on(context, tag, mark):
+    context.sent = packets.encode(context.segment, tag, mark)
+    context.tag, context.mark = tag, mark
+
+
+@when("the upstream returns it")
+def returned(context):
+    context.segment = packets.decode_from_upstream(context.data)
+
+
+@when("the flow {flow} is reset with seq {seq:d}")
+def reset_flow(context, flow, seq):
+    caller, _, route = flow.partition(">")
+    data = packet(parse(caller), parse(route), 0, 0, FLAGS["ACK"], b"")
+    context.key = packets.decode_from_caller(data).key
+    context.data = packets.encode_reset(context.key, seq)
+
+
+@then("its flow is {flow}")
+def check_flow(context, flow):
+    assert segments.show_key(context.segment.key) == flow
+
+
+@then("it opens a flow with seq {seq:d}, ack {ack:d} and length {length:d}")
+def check_opening(context, seq, ack, length):
+    seg = context.segment
+    assert seg.opening and not seg.returned
+    assert (seg.seq, seg.ack, seg.length) == (seq, ack, length)
+
+
+@then("only echo, pad and BOUNCED have changed")
+def check_passed(context):
+    assert context.sent[:26] == context.data[:26]
+    assert context.sent[32:] == context.data[32:]
+    assert context.sent[26:30] == context.tag.to_bytes(4, "big")
+    assert context.sent[30] == context.data[30] & ~FLAGS["BOUNCED"]
+    assert context.sent[31] == context.mark
+
+
+@then("it is a returned one")
+def is_returned(context):
+    assert context.segment.returned and context.segment.from_caller
+
+
+@then("it is not a returned one")
+def is_not_returned(context):
+    assert not context.segment.returned
+    assert not context.segment.from_caller
+
+
+@then("the reset has seq {seq:d}, checksum 0, no data and belongs to that flow")
+def check_reset(context, seq):
+    seg = packets.decode_from_upstream(context.data)
+    assert seg.reset and seg.key == context.key
+    assert (seg.seq, seg.length) == (seq, 0)
+    assert context.data[8:12] == bytes(4)
+
+
+@then("{count:d} random datagrams are decoded or refused as malformed")
+def random_datagrams(context, count):
+    rng = random.Random(3)
+    decoded = 0
+    for _ in range(count):
+        data = bytearray(rng.randbytes(rng.randrange(80)))
+        if len(data) >= 32 and rng.random() < 0.5:
+            data[24:26] = (len(data) - 32).to_bytes(2, "big")
+            data[30] &= sum(FLAGS.values())
+        for decode in (
+            packets.decode_from_caller,
+            packets.decode_from_upstream,
+        ):
+            try:
+                decode(bytes(data))
+                decoded += 1
+            except errors.WireError:
+                continue
+    assert 0 < decoded < 2 * count, decoded
+
+
+def heartbeat_body(text):
+    body = {
+        "service": "rounds",
+        "address": "10.0.1.1:8080",
+        "zone": "abay",
+        "version": "v1",
+        "max_concurrency": 4,
+        "state": "ready",
+        "warmup_left_ms": 0,
+        "sequence": 4,
+        "born": 1000,
+    }
+    words = text.removeprefix("a heartbeat ").split()
+    if words[0] == "without":
+        del body[words[1]]
+    else:
+        body[words[1]] = json.loads(words[2])
+    return json.dumps(body).encode()
+
+
+@when("an upstream calls {method:w} {path:S} with {body}")
+def upstream_calls(context, method, path, body):
+    if body.startswith("a heartbeat"):
+        data = heartbeat_body(body)
+    else:
+        data = b"" if body == "nothing" else body.encode()
+    context.call = context.error = None
+    try:
+        context.call = registry.decode_call(method, path, data)
+    except errors.WireError as exc:
+        context.error = exc
+
+
+@then("the call is refused as malformed")
+def call_refused(context):
+    assert context.error is not None and context.call is None
+
+
+@then("it is a heartbeat of i-1 with sequence 7 and 4 slots that is ready")
+def check_heartbeat(context):
+    beat = context.call
+    assert (beat.upstream, beat.sequence, beat.slots) == ("i-1", 7, 4)
+    assert beat.born_ms == 1000 and not beat.draining
+    assert beat.address == ("10.0.1.1", 8080)
+
+
+def desired_state(**changes):
+    route = {
+        "name": "r1",
+        "hostname": "198.18.0.1",
+        "path_prefix": "/8443/",
+        "type": "idempotent",
+        "timeout_ms": 1500,
+        "target_latency_ms": 150,
+        "priority": 2,
+        "service": "rounds",
+        "attempts": 2,
+    }
+    return {"version": 7, "routes": [{**route, **changes}], "services": []}
+
+
+@given(
+    "a desired state of version 7 with a route of one service and one of two"
+)
+def good_state(context):
+    state = desired_state()
+    second = {**state["routes"][0], "hostname": "198.18.0.2"}
+    del second["service"]
+    second["traffic_split"] = [
+        {"service": "rounds", "weight": 90},
+        {"service": "wheelbook", "weight": 10},
+    ]
+    state["routes"].append(second)
+    context.spec = json.dumps(state).encode()
+
+
+@given("a desired state whose route has {field:w} {value}")
+def bad_state(context, field, value):
+    state = desired_state(**{field: json.loads(value)})
+    context.spec = json.dumps(state).encode()
+
+
+@then("its routes lead to rounds, and to rounds and wheelbook by 90 and 10")
+def check_routes(context):
+    cfg = desired.decode(context.spec)
+    assert cfg.version == 7
+    first, second = cfg.routes
+    assert first.services() == ("rounds",)
+    assert first.address == ("198.18.0.1", 8443)
+    assert first.repeatable and first.timeout_s == 1.5
+    points = [second.service_of(n / 100) for n in range(100)]
+    assert points.count("rounds") == 90 and points.count("wheelbook") == 10
+
+
+@then("it is refused as malformed")
+def state_refused(context):
+    try:
+        desired.decode(context.spec)
+    except errors.ObjectError:
+        return
+    raise AssertionError("it was taken")
+
+
+@given("settings of a side machine in which {field:w} is {value}")
+def side_settings(context, field, value):
+    boot = {
+        "node_name": "side-1",
+        "machine_class": "side",
+        "ip": "10.1.0.13",
+        "zone": "abay",
+        "listen": {
+            "data_addr": "10.1.0.13:8172",
+            "outbound": "10.1.0.13:8162",
+            "readiness": "10.1.0.13:8167",
+            "control": "10.1.0.13:8166",
+        },
+        "port_range": [7720, 7735],
+        "seeds": ["10.1.0.10:8166"],
+        "heartbeat_ms": 1200,
+        "bounds": {"grace_s": 6},
+        "app": "10.1.0.13:8165",
+        "service": "rounds",
+        "platform": {"address": "10.200.1.7:8169"},
+    }
+    if value == "missing":
+        del boot[field]
+    else:
+        boot[field] = json.loads(value)
+    context.boot = json.dumps(boot).encode()
+
+
+@then("they are refused with an error that names {word}")
+def settings_refused(context, word):
+    try:
+        hosts.decode(context.boot)
+    except (msgspec.DecodeError, ValueError) as exc:
+        assert word in str(exc), exc
+        return
+    raise AssertionError("they were taken")
+
+
+@then("they are those of an agent of rounds")
+def settings_taken(context):
+    cfg = hosts.decode(context.boot)
+    assert (cfg.role, cfg.service) == ("agent", "rounds")
+    assert cfg.upstream == ("10.1.0.13", 8165)
+
+
+@given("a store with {count:d} objects")
+def store_with(context, count):
+    context.loop = paused.PausedLoop()
+    asyncio.set_event_loop(context.loop)
+    context.add_cleanup(context.loop.close)
+
+    async def make():
+        return store_standin.StoreStandIn()
+
+    context.standin = context.loop.run_until_complete(make())
+    context.add_cleanup(context.standin.stop)
+    for number in range(1, count + 1):
+        context.standin.put("things", f"t{number}", {"n": number})
+
+    async def client():
+        return store.Store(context.standin.address)
+
+    context.store = context.loop.run_until_complete(client())
+    context.revision = context.standin.revision
+
+
+def call(context, awaitable):
+    return context.loop.run_until_complete(awaitable)
+
+
+@when("object 1 changes and object 2 is deleted")
+def change_and_delete(context):
+    context.standin.put("things", "t1", {"n": 100})
+    context.standin.delete("things", "t2")
+
+
+@when("object 1 changes and the store drops its history")
+def change_and_forget(context):
+    context.standin.put("things", "t1", {"n": 100})
+    context.standin.forget_history()
+
+
+@when("the store answers {status:d} to all calls")
+def refuses(context, status):
+    context.standin.status = status
+
+
+@when("the answer to the creation of object 9 is lost")
+def lost_answer(context):
+    context.standin.lose_answers = 1
+    try:
+        call(context, context.store.create("things", "t9", b"{}"))
+    except errors.PlatformUnavailableError:
+        return
+    raise AssertionError("the call had an answer")
+
+
+@then("a list has {count:d} objects and the store's revision")
+def check_list(context, count):
+    found = call(context, context.store.list("things"))
+    assert len(found.items) == count and found.full
+    assert found.revision == context.revision
+
+
+@then("a watch from the former revision tells both")
+def check_watch(context):
+    watch = context.store.watch("things", context.revision, 1.0)
+    found = call(context, watch)
+    assert [item.name for item in found.items] == ["t1"]
+    assert json.loads(found.items[0].spec) == {"n": 100}
+    assert found.removed == ("t2",)
+
+
+@then("a watch from the former revision says that history is gone")
+def check_gone(context):
+    watch = context.store.watch("things", context.revision, 1.0)
+    assert call(context, watch) is None
+
+
+@then("a list raises {error:w}")
+def list_raises(context, error):
+    try:
+        call(context, context.store.list("things"))
+    except errors.PlatformError as exc:
+        assert type(exc).__name__ == error, exc
+        return
+    raise AssertionError("no error")
+
+
+@then("creating it again raises {error:w}")
+def create_raises(context, error):
+    try:
+        call(context, context.store.create("things", "t9", b"{}"))
+    except errors.PlatformError as exc:
+        assert type(exc).__name__ == error, exc
+        return
+    raise AssertionError("no error")
