--- /dev/null
+++ b/features/forward_path.feature
@@ -0,0 +1,75 @@
+Feature: The daemons carry flows over real sockets
+
+  # Guards against parts that work only alone.
+  Scenario: A flow is opened, answered and carried on through another balancer
+    Given a store with a route to rounds, 2 balancers and 2 agents of rounds
+    When a caller opens a flow through balancer 1
+    Then the caller gets a SYN+ACK
+    When the caller sends a request through balancer 2
+    Then the upstream that answered gets it once and the other one nothing
+    And the caller gets the answer
+
+  # Guards against CONFIG: a change that only a restart brings.
+  Scenario: A new route is in force without a restart
+    Given a store with a route to rounds, 2 balancers and 2 agents of rounds
+    When the operator adds a route on port 9090
+    And a caller opens a flow to port 9090 through balancer 1
+    Then the caller gets a SYN+ACK
+
+  # Guards against a dropped route that still takes flows.
+  Scenario: A flow to a dropped route is reset
+    Given a store with a route to rounds, 2 balancers and 2 agents of rounds
+    When the operator drops all routes
+    And a caller opens a flow through balancer 1
+    Then the caller gets a reset over the wire
+
+  # Guards against CONFIG at a balancer that the store turns away: its peers
+  # have the change, and the agents' reports tell where.
+  Scenario: A balancer that the store turns away gets a change from its peer
+    Given a store with a route to rounds, 2 balancers and 2 agents of rounds
+    When the store turns balancer 2 away
+    And the operator adds a route on port 9090
+    Then balancer 2 has the new version within 3 s
+
+  # Guards against a balancer that waits for the store at its start.
+  Scenario: A balancer starts from its peers while the store is down
+    Given a store with a route to rounds, 2 balancers and 2 agents of rounds
+    When the store answers all calls with 503
+    And balancer 3 starts with balancer 1 as its seed
+    Then balancer 3 is ready within 3 s
+    When a caller opens a flow through balancer 3
+    Then the caller gets a SYN+ACK
+
+  # Guards against flows broken by a restart of an agent, which forgets them.
+  Scenario: An open flow survives a restart of its agent
+    Given a store with a route to rounds, 2 balancers and 2 agents of rounds
+    When a caller opens a flow through balancer 1
+    Then the caller gets a SYN+ACK
+    When the agent that holds the flow is replaced by a new one
+    And the caller sends a request through balancer 1
+    Then the upstream that answered gets it once and the other one nothing
+    And the caller gets the answer
+
+  # Guards against a stop that leaves its announcement, or that is not seen.
+  Scenario: An agent whose upstream has left withdraws and gets no new flows
+    Given a store with a route to rounds, 2 balancers and 2 agents of rounds
+    When the upstream of agent 1 leaves and the agent stops
+    Then the store lists one agent
+    When 20 callers open flows through balancer 1
+    Then upstream 1 gets none of them
+
+  # Guards against a balancer that is taken out of rotation too late.
+  Scenario: A balancer that stops is not ready but passes segments on
+    Given a store with a route to rounds, 2 balancers and 2 agents of rounds
+    When balancer 1 begins to stop
+    Then balancer 1 is not ready
+    When a caller opens a flow through balancer 1
+    Then the caller gets a SYN+ACK
+
+  # Guards against a process that malformed input ends.
+  Scenario: Malformed input is counted and changes nothing
+    Given a store with a route to rounds, 2 balancers and 2 agents of rounds
+    When malformed datagrams, heartbeats and objects arrive
+    Then each daemon that got one counts it in its metrics
+    When a caller opens a flow through balancer 1
+    Then the caller gets a SYN+ACK
--- /dev/null
+++ b/features/steps/forward_path_steps.py
@@ -0,0 +1,426 @@
+import asyncio
+import json
+import random
+import socket
+
+from behave import given
+from behave import then
+from behave import when
+
+from crocusmux import forwarding
+from crocusmux.core.forward import segments
+from crocusmux.daemons import forward_agent
+from crocusmux.daemons import forward_balancer
+from crocusmux.daemons import udp
+from crocusmux.objectapi import http
+from crocusmux.platform import __main__ as starter
+from crocusmux.platform import packets
+from features import loop as paused
+from features import store_standin
+from features.steps import platform_adapter_steps as wire
+
+# Each host has a loopback address of its own, so that all use one port.
+CALLER_IP = "127.0.9.1"
+ROUTE = ("198.18.0.1", 8443)
+START = 5000
+STEP_S = 0.05
+
+
+class Upstream:
+    """Upstream that answers openings and requests."""
+
+    def __init__(self, number, ip, ports):
+        self.number = number
+        self.openings = []
+        self.requests = []
+        self.returned = 0
+        self.outbound = (ip, ports["outbound"])
+        self.held = set()
+        self.socket = udp.UdpSocket((ip, ports["app"]), self.on_datagram)
+
+    def on_datagram(self, data, sender):
+        del sender
+        seg = packets.decode_from_caller(data)
+        if seg.opening:
+            self.openings.append(seg)
+            self.send(seg, wire.FLAGS["SYN"] | wire.FLAGS["ACK"], START, b"")
+        elif seg.acknowledges and seg.ack == START + self.number:
+            self.held.add(seg.key)
+            if seg.length:
+                self.requests.append(seg)
+                self.send(seg, wire.FLAGS["ACK"], START + 1, b"answer")
+        else:
+            self.returned += 1
+            flags = data[30] | wire.FLAGS["BOUNCED"]
+            back = data[:30] + bytes([flags, 0]) + data[32:]
+            self.socket.send(back, self.outbound)
+
+    def send(self, seg, flags, seq, data):
+        caller, _, route = segments.show_key(seg.key).partition(">")
+        if flags & wire.FLAGS["SYN"]:
+            # The caller acknowledges one more, so this tells upstreams apart.
+            seq = START + self.number - 1
+        out = wire.packet(
+            wire.parse(route), wire.parse(caller), seq, 0, flags, data
+        )
+        self.socket.send(out, self.outbound)
+
+
+def free_ports(count):
+    """Returns ports that are free on all loopback addresses now."""
+    held, ports = [], []
+    for _ in range(count):
+        for kind in (socket.SOCK_DGRAM, socket.SOCK_STREAM):
+            sock = socket.socket(socket.AF_INET, kind)
+            wanted = ports[-1] if kind == socket.SOCK_STREAM else 0
+            sock.bind(("0.0.0.0", wanted))
+            held.append(sock)
+            if kind == socket.SOCK_DGRAM:
+                ports.append(sock.getsockname()[1])
+    for sock in held:
+        sock.close()
+    return ports
+
+
+def settings(context, role, number):
+    ip = f"127.0.{1 if role == 'balancer' else 2}.{number}"
+    port = context.ports
+    seed = ("127.0.1.1", port["control"])
+    return forwarding.HostSettings(
+        role=role,
+        host=f"{role}-{number}",
+        failure_domain="abay",
+        segments=(ip, port["segments"]),
+        caller_port=port["segments"],
+        readiness=(ip, port["readiness"]),
+        control=(ip, port["control"]),
+        messages=(ip, port["messages"]),
+        metrics=(ip, port["metrics"]),
+        seeds=(seed,),
+        store=context.standin.address,
+        heartbeat_s=1.2,
+        grace_s=6.0,
+        service="rounds" if role == "agent" else "",
+        upstream=(ip, port["app"]) if role == "agent" else ("", 0),
+        outbound=(ip, port["outbound"]) if role == "agent" else ("", 0),
+    )
+
+
+def start(context, role, number):
+    cfg = settings(context, role, number)
+    module = forward_balancer if role == "balancer" else forward_agent
+    kind = getattr(module, role.capitalize() + "Daemon")
+
+    async def make():
+        daemon = kind(cfg, starter.make_adapter(cfg), random.Random(number))
+        await daemon.start()
+        return daemon
+
+    daemon = context.loop.run_until_complete(make())
+    context.daemons[role, number] = daemon
+    return daemon
+
+
+def halt(context, role, number):
+    """Ends a daemon at once, as a kill does."""
+    daemon = context.daemons.pop((role, number))
+    for task in list(daemon._tasks):
+        task.cancel()
+    for server in daemon._servers:
+        server.stop()
+    daemon._messenger.socket.close()
+    daemon._segments.close()
+    if role == "agent":
+        daemon._outbound.close()
+
+
+def until(context, condition, limit=3.0):
+    return context.loop.advance_until(condition, STEP_S, limit)
+
+
+def desired(context, version, ports):
+    state = wire.desired_state()
+    base = state["routes"][0]
+    state["version"] = version
+    state["routes"] = [
+        {**base, "name": f"r{port}", "path_prefix": f"/{port}/"}
+        for port in ports
+    ]
+    context.standin.put("config", "main", state)
+
+
+def beat(context, number, sequence, path="heartbeat"):
+    ip = f"127.0.2.{number}"
+    body = {
+        "service": "rounds",
+        "address": f"{ip}:{context.ports['app']}",
+        "zone": "abay",
+        "version": "v1",
+        "max_concurrency": 2,
+        "state": "ready",
+        "warmup_left_ms": 0,
+        "sequence": sequence,
+        "born": 1000,
+    }
+    return http_call(
+        context,
+        "POST",
+        (ip, context.ports["control"]),
+        f"/crocusmux/endpoints/i-{number}/{path}",
+        json.dumps(body).encode(),
+    )
+
+
+def http_call(context, method, address, path, body=None):
+    url = f"http://{address[0]}:{address[1]}{path}"
+
+    async def fetch():
+        return await http.make_fetch()(method, url, body, 2.0)
+
+    return context.loop.run_until_complete(fetch())
+
+
+def ready(context, number):
+    address = (f"127.0.1.{number}", context.ports["readiness"])
+    return http_call(context, "GET", address, "/crocusmux/ready").status == 200
+
+
+@given("a store with a route to rounds, 2 balancers and 2 agents of rounds")
+def whole_path(context):
+    context.loop = paused.PausedLoop()
+    asyncio.set_event_loop(context.loop)
+    names = [
+        "segments",
+        "readiness",
+        "control",
+        "messages",
+        "metrics",
+        "app",
+        "outbound",
+    ]
+    context.ports = dict(zip(names, free_ports(len(names)), strict=True))
+    context.daemons = {}
+    context.add_cleanup(end_all, context)
+
+    async def make():
+        context.standin = store_standin.StoreStandIn("127.0.8.1")
+        context.caller = []
+        caller = (CALLER_IP, context.ports["segments"])
+        context.caller_socket = udp.UdpSocket(
+            caller, lambda data, sender: context.caller.append(data)
+        )
+        context.upstreams = {
+            n: Upstream(n, f"127.0.2.{n}", context.ports) for n in (1, 2)
+        }
+
+    context.loop.run_until_complete(make())
+    desired(context, 1, [8443])
+    for number in (1, 2):
+        start(context, "balancer", number)
+        start(context, "agent", number)
+        assert beat(context, number, 1).status == 200
+    until(context, lambda: all(accepts(context, n) for n in (1, 2)))
+
+
+def accepts(context, number):
+    core = context.daemons["balancer", number].core
+    now = context.loop.time()
+    agents = core.directory.all()
+    return len(agents) == 2 and all(one.accepts(now) for one in agents)
+
+
+def end_all(context):
+    for role, number in list(context.daemons):
+        halt(context, role, number)
+    for one in context.upstreams.values():
+        one.socket.close()
+    context.caller_socket.close()
+    context.standin.stop()
+    pending = asyncio.all_tasks(context.loop)
+    for task in pending:
+        task.cancel()
+    gathered = asyncio.gather(*pending, return_exceptions=True)
+    context.loop.run_until_complete(gathered)
+    context.loop.close()
+
+
+def send(context, number, seq, ack, flags, data=b"", port=8443, source=4000):
+    out = wire.packet(
+        (CALLER_IP, source), (ROUTE[0], port), seq, ack, flags, data
+    )
+    to = (f"127.0.1.{number}", context.ports["segments"])
+    context.caller_socket.send(out, to)
+
+
+@when("a caller opens a flow through balancer {number:d}")
+def open_flow(context, number):
+    send(context, number, 100, 0, wire.FLAGS["SYN"])
+
+
+@when("a caller opens a flow to port {port:d} through balancer {number:d}")
+def open_flow_to(context, port, number):
+    until(
+        context,
+        lambda: context.daemons["balancer", number].core.routes.version > 1,
+    )
+    send(context, number, 100, 0, wire.FLAGS["SYN"], port=port)
+
+
+@then("the caller gets a SYN+ACK")
+def gets_answer(context):
+    until(context, lambda: context.caller)
+    context.answer = packets.decode_from_upstream(context.caller.pop(0))
+    assert context.answer.opening and not context.answer.reset
+
+
+@then("the caller gets a reset over the wire")
+def gets_reset(context):
+    until(context, lambda: context.caller)
+    assert packets.decode_from_upstream(context.caller[0]).reset
+
+
+@when("the caller sends a request through balancer {number:d}")
+def send_request(context, number):
+    ack = context.answer.seq + 1
+    send(context, number, 101, ack, wire.FLAGS["ACK"], b"request")
+
+
+@then("the upstream that answered gets it once and the other one nothing")
+def one_upstream(context):
+    until(
+        context,
+        lambda: any(one.requests for one in context.upstreams.values()),
+    )
+    holder = context.answer.seq + 1 - START
+    counts = {n: len(one.requests) for n, one in context.upstreams.items()}
+    assert counts == {holder: 1, 3 - holder: 0}, counts
+
+
+@then("the caller gets the answer")
+def gets_data(context):
+    until(context, lambda: context.caller)
+    seg = packets.decode_from_upstream(context.caller[0])
+    assert seg.data[32:] == b"answer"
+
+
+@when("the operator adds a route on port {port:d}")
+def add_route(context, port):
+    desired(context, 2, [8443, port])
+
+
+@when("the operator drops all routes")
+def drop_routes(context):
+    desired(context, 2, [])
+    until(
+        context,
+        lambda: context.daemons["balancer", 1].core.routes.version == 2,
+    )
+
+
+@when("the store turns balancer 2 away")
+def turn_away(context):
+    daemon = context.daemons["balancer", 2]
+
+    async def refused(method, url, body, timeout_s):
+        del method, url, body, timeout_s
+        return http.calls.Answer(status=503)
+
+    daemon._adapter.store._fetch = refused
+    context.standin.cut_watches()
+
+
+@then("balancer {number:d} has the new version within {seconds:d} s")
+def has_version(context, number, seconds):
+    core = context.daemons["balancer", number].core
+    until(context, lambda: core.routes.version == 2, seconds)
+
+
+@when("the store answers all calls with {status:d}")
+def store_fails(context, status):
+    context.standin.status = status
+    context.standin.cut_watches()
+
+
+@when("balancer 3 starts with balancer 1 as its seed")
+def start_third(context):
+    start(context, "balancer", 3)
+
+
+@then("balancer {number:d} is ready within {seconds:d} s")
+def is_ready(context, number, seconds):
+    core = context.daemons["balancer", number].core
+    until(context, core.ready, seconds)
+    assert ready(context, number)
+
+
+@then("balancer {number:d} is not ready")
+def is_not_ready(context, number):
+    assert not ready(context, number)
+
+
+@when("the agent that holds the flow is replaced by a new one")
+def replace_agent(context):
+    holder = context.answer.seq + 1 - START
+    halt(context, "agent", holder)
+    start(context, "agent", holder)
+
+
+@when("the upstream of agent 1 leaves and the agent stops")
+def agent_leaves(context):
+    assert beat(context, 1, 2, path="deregister").status == 200
+    daemon = context.daemons["agent", 1]
+    context.loop.run_until_complete(daemon.stop())
+
+
+@then("the store lists one agent")
+def one_agent(context):
+    kinds = [kind for kind, _ in context.standin.objects]
+    assert kinds.count("agents") == 1
+
+
+@when("{count:d} callers open flows through balancer 1")
+def many_flows(context, count):
+    for number in range(count):
+        flags = wire.FLAGS["SYN"]
+        send(context, 1, 100, 0, flags, source=5000 + number)
+    until(context, lambda: len(context.caller) >= count)
+
+
+@then("upstream 1 gets none of them")
+def none_of_them(context):
+    assert not context.upstreams[1].openings
+    assert len(context.upstreams[2].openings) >= 20
+
+
+@when("balancer 1 begins to stop")
+def begins_to_stop(context):
+    daemon = context.daemons["balancer", 1]
+    context.stopping = context.loop.create_task(daemon.stop())
+    context.loop.run_until_complete(asyncio.sleep(0))
+
+
+@when("malformed datagrams, heartbeats and objects arrive")
+def malformed(context):
+    port = context.ports
+    for ip in ("127.0.1.1", "127.0.2.1"):
+        context.caller_socket.send(b"short", (ip, port["segments"]))
+        context.caller_socket.send(b"\xc1", (ip, port["messages"]))
+    control = ("127.0.2.1", port["control"])
+    path = "/crocusmux/endpoints/i-1/heartbeat"
+    answer = http_call(context, "POST", control, path, b"{")
+    assert answer.status == 400
+    context.standin.put("config", "main", {"version": "x"})
+    context.standin.put("agents", "odd", {"host": 5})
+
+
+@then("each daemon that got one counts it in its metrics")
+def counted(context):
+    def count(ip):
+        address = (ip, context.ports["metrics"])
+        text = http_call(context, "GET", address, "/metrics").body.decode()
+        lines = text.splitlines()
+        found = [x for x in lines if x.startswith("crocusmux_bad_input")]
+        return int(found[0].split()[-1]) if found else 0
+
+    until(context, lambda: count("127.0.1.1") == 4)
+    assert count("127.0.2.1") == 3
