--- a/crocusmux/core/forward/agent.py
+++ b/crocusmux/core/forward/agent.py
@@ -12,7 +12,6 @@
 # With many balancers reports are rarer, so that an agent sends at most so
 # many a second.
 REPORTS_PER_S = 60
-SUBSCRIPTION_S = 10.0
 EXPIRE_S = 1.0
 # A SYN is answered within a millisecond on the same host.  Without any
 # packet of the upstream for this time after a SYN it counts as silent.
@@ -253,7 +252,9 @@
                 sent.append(outputs.ToPeer(flow.balancer, held))
         if seg.opening:
             flow.start = seg.seq
-        if seg.length:
+        if seg.length and flow.began_at:
+            took = now - flow.began_at
+            sent.append(outputs.Timing(outputs.ANSWERED, took))
             self._end_request(now, flow, answered=True)
         if seg.final or seg.reset:
             flow.closing = True
@@ -335,10 +336,10 @@
         ip = message.address[0]
         subscriber = self._subscribers.get(ip)
         if subscriber is not None:
-            subscriber.until = now + SUBSCRIPTION_S
+            subscriber.until = now + message.valid_s
             return []
         subscriber = _Subscriber(message.address)
-        subscriber.until = now + SUBSCRIPTION_S
+        subscriber.until = now + message.valid_s
         self._subscribers[ip] = subscriber
         return [self._report(now, subscriber)]
 
@@ -346,8 +347,7 @@
         """Does what is due; call it every ``TICK_S``."""
         sent = self._check_silence(now)
         if now >= self._report_at:
-            interval = len(self._subscribers) / REPORTS_PER_S
-            self._report_at = now + max(REPORT_S, interval)
+            self._report_at = now + self._report_interval()
             sent += self._report_all(now)
         if now >= self._expire_at:
             self._expire_at = now + EXPIRE_S
@@ -423,6 +423,9 @@
         found = self._subscribers.values()
         return [self._report(now, subscriber) for subscriber in found]
 
+    def _report_interval(self) -> float:
+        return max(REPORT_S, len(self._subscribers) / REPORTS_PER_S)
+
     def _report(self, now: float, to: _Subscriber) -> outputs.ToPeer:
         self._sequence += 1
         beat = self.life.current
@@ -438,6 +441,7 @@
             flows=len(self._flows),
             service_ms=round(self.load.service_ms, 1),
             offers=to.offers,
+            interval_s=self._report_interval(),
             config_version=version,
             config_source=source,
         )
--- a/crocusmux/core/forward/balancer.py
+++ b/crocusmux/core/forward/balancer.py
@@ -12,8 +12,12 @@
 from crocusmux.core.forward import upstreams
 
 TICK_S = 0.05
-# Agents are asked for reports so often, seconds; they report for 10 s.
+# Agents are asked for reports so often, seconds.  With many agents it is
+# rarer, so that a balancer sends at most so many subscriptions a second.
 SUBSCRIBE_S = 2.0
+SUBSCRIPTIONS_PER_S = 50
+# Intervals for which a subscription is valid, as some datagrams are lost.
+SUBSCRIPTION_INTERVALS = 5
 EXPIRE_S = 1.0
 # A flow is kept for this long beyond its idle time, seconds.
 IDLE_SLACK_S = 5.0
@@ -195,7 +199,11 @@
         flow.offered.append(chosen.record.host)
         flow.offered_at = now
         chosen.offered += 1
-        return [_offer(seg, chosen), self._placed(now, seg.key, chosen, flow)]
+        return [
+            _offer(seg, chosen),
+            self._placed(now, seg.key, chosen, flow),
+            outputs.Timing(outputs.PLACED, now - flow.opened_at),
+        ]
 
     def _on_no_upstream(
         self, now: float, seg: segments.Segment, flow: flows.Flow
@@ -433,7 +441,7 @@
         """Does what is due; call it every ``TICK_S``."""
         sent: Outputs = []
         if now >= self._subscribe_at:
-            self._subscribe_at = now + SUBSCRIBE_S
+            self._subscribe_at = now + self._subscribe_interval()
             sent += self._subscribe()
         if now >= self._expire_at:
             self._expire_at = now + EXPIRE_S
@@ -445,6 +453,10 @@
         sent += self._place_waiting(now)
         return sent
 
+    def _subscribe_interval(self) -> float:
+        agents = len(self.directory.hosts())
+        return max(SUBSCRIBE_S, agents / SUBSCRIPTIONS_PER_S)
+
     def _subscribe(self) -> Outputs:
         message = self._subscription()
         agents = self.directory.all()
@@ -456,6 +468,7 @@
             self._address,
             self.routes.version,
             self._config_source,
+            SUBSCRIPTION_INTERVALS * self._subscribe_interval(),
         )
 
     # Log and refusals
--- a/crocusmux/core/forward/outputs.py
+++ b/crocusmux/core/forward/outputs.py
@@ -69,4 +69,25 @@
     notable: bool = False
 
 
-Output = ToAgent | ToUpstream | ToCaller | Reset | ToPeer | Event
+# Durations that are measured, by name, with their meaning.
+PLACED = "opening_placed"
+ANSWERED = "request_answered"
+TIMINGS = {
+    PLACED: "Time from a caller's first opening to its offer to an upstream.",
+    ANSWERED: "Time from a request to the first data of its answer.",
+}
+
+
+class Timing(msgspec.Struct, gc=False):
+    """A duration for the histograms.
+
+    Attributes:
+        what: A name in ``TIMINGS``.
+        seconds: The duration.
+    """
+
+    what: str
+    seconds: float
+
+
+Output = ToAgent | ToUpstream | ToCaller | Reset | ToPeer | Event | Timing
--- a/crocusmux/core/forward/reports.py
+++ b/crocusmux/core/forward/reports.py
@@ -11,12 +11,14 @@
         address: Address of the balancer for reports and answers.
         config_version: Version of the configuration that it has.
         config_source: Address that serves this configuration by HTTP.
+        valid_s: Time for which it wants reports, seconds.
     """
 
     balancer: str
     address: tuple[str, int]
     config_version: int
     config_source: str
+    valid_s: float
 
 
 class LoadReport(msgspec.Struct, frozen=True, tag="l", array_like=True):
@@ -35,6 +37,7 @@
             0 if not known.
         offers: New flows that the receiver has offered to this agent in
             this boot of the agent.
+        interval_s: Time until the next report, seconds.
         config_version: Newest version of the configuration among the
             agent's subscribers.
         config_source: Address that serves this configuration by HTTP.
@@ -50,6 +53,7 @@
     flows: int
     service_ms: float
     offers: int
+    interval_s: float
     config_version: int
     config_source: str
 
--- a/crocusmux/core/forward/upstreams.py
+++ b/crocusmux/core/forward/upstreams.py
@@ -7,12 +7,12 @@
 
 from crocusmux.core.forward import reports
 
-# An agent that did not report for this long is not chosen for new flows
-# while others report, seconds: four of its shortest report intervals.
-SILENT_S = 1.0
+# An agent that missed so many reports is silent, and gets no new flows.
+SILENT_REPORTS = 4
 # After this silence its host counts as lost, seconds: longer than a planned
 # restart of an agent takes.
 LOST_S = 4.0
+LOST_REPORTS = 8
 # Time without a choice after an opening stayed unanswered there, seconds.
 UNANSWERED_PAUSE_S = 0.4
 
@@ -82,14 +82,16 @@
 
     def lost(self, now: float) -> bool:
         """Returns True if it has been silent for so long that it is dead."""
-        return now - max(self.reported_at, self.added_at) > LOST_S
+        interval = self.report.interval_s if self.report else 0.0
+        limit = max(LOST_S, LOST_REPORTS * interval)
+        return now - max(self.reported_at, self.added_at) > limit
 
     def accepts(self, now: float) -> bool:
         """Returns True if it reports and takes new flows."""
         return (
             self.report is not None
             and self.report.accepting
-            and self.silent_s(now) < SILENT_S
+            and self.silent_s(now) < SILENT_REPORTS * self.report.interval_s
             and self.paused_until <= now
         )
 
--- a/crocusmux/daemons/forward.py
+++ b/crocusmux/daemons/forward.py
@@ -1,7 +1,7 @@
 """What balancers and agents that forward segments have in common."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 import logging
 import signal
 import socket
@@ -14,6 +14,7 @@
 from crocusmux import errors
 from crocusmux import forwarding
 from crocusmux import logs
+from crocusmux import metrics
 from crocusmux.core.forward import outputs
 from crocusmux.core.forward import reports
 from crocusmux.daemons import process
@@ -32,34 +33,12 @@
 Handler = Callable[[httputil.HTTPServerRequest], tuple[int, bytes]]
 
 
-class Counters:
-    """Counts of what a daemon did, by name."""
-
-    __slots__ = ("_counts",)
-
-    def __init__(self) -> None:
-        self._counts: dict[str, int] = {}
-
-    def add(self, name: str) -> None:
-        """Counts one."""
-        self._counts[name] = self._counts.get(name, 0) + 1
-
-    def text(self) -> str:
-        """Returns all counts in the text form of Prometheus."""
-        lines = []
-        for name in sorted(self._counts):
-            metric = "crocusmux_" + name.replace("-", "_") + "_total"
-            lines.append(f"# TYPE {metric} counter")
-            lines.append(f"{metric} {self._counts[name]}")
-        return "\n".join(lines) + "\n"
-
-
 class Messenger:
     """Messages to and from other daemons, and the log of events.
 
     Attributes:
         socket: Socket for messages, from which segments go to agents too.
-        counters: Counts for the metrics.
+        metrics: Counts and durations.
     """
 
     def __init__(
@@ -75,7 +54,7 @@
             receive: Takes each message with its sender.
             clock: Returns the time in seconds.
         """
-        self.counters = Counters()
+        self.metrics = metrics.Metrics()
         self.log = logs.make_event_log(clock)
         self._receive = receive
         self.socket = udp.UdpSocket(address, self._on_datagram)
@@ -86,7 +65,7 @@
 
     def note(self, event: outputs.Event) -> None:
         """Counts and logs an event."""
-        self.counters.add(event.what)
+        self.metrics.count(event.what)
         self.log(event)
 
     def note_bad_input(self, exc: Exception, sender: object) -> None:
@@ -103,6 +82,22 @@
         self._receive(message, sender)
 
 
+def supervise(tasks: set[asyncio.Task], work: Coroutine) -> None:
+    """Runs work that never ends; if it fails, the process ends.
+
+    A daemon without its timers would look alive and do nothing, while a
+    process that ends is started again.
+    """
+    loop = asyncio.get_running_loop()
+
+    def on_done(task: asyncio.Task) -> None:
+        if not task.cancelled() and task.exception() is not None:
+            logger.error("event=failed", exc_info=task.exception())
+            loop.stop()
+
+    process.in_background(tasks, work).add_done_callback(on_done)
+
+
 def caller_address(key: bytes, port: int) -> forwarding.Address:
     """Returns the address to which segments for a flow's caller go."""
     return socket.inet_ntoa(key[:4]), port
--- a/crocusmux/daemons/forward_agent.py
+++ b/crocusmux/daemons/forward_agent.py
@@ -66,8 +66,8 @@
         self._servers = [forward.serve(cfg.control, self._on_call)]
         for address in {cfg.readiness, cfg.metrics} - {cfg.control}:
             self._servers.append(forward.serve(address, self._on_call))
-        process.in_background(self._tasks, self._tick())
-        process.in_background(self._tasks, self._announce())
+        forward.supervise(self._tasks, self._tick())
+        forward.supervise(self._tasks, self._announce())
 
     async def stop(self) -> None:
         """Takes no new flows; withdraws if the upstream is gone."""
@@ -125,6 +125,8 @@
             elif isinstance(output, outputs.Reset):
                 data = self._adapter.encode_reset(output.key, output.seq)
                 self._to_caller(output.key, data)
+            elif isinstance(output, outputs.Timing):
+                self._messenger.metrics.observe(output)
 
     def _to_caller(self, key: bytes, data: bytes) -> None:
         caller = forward.caller_address(key, self._cfg.caller_port)
@@ -188,7 +190,7 @@
         if req.path == self._adapter.ready_path:
             return OK, b""
         if req.path == METRICS_PATH:
-            return OK, self._messenger.counters.text().encode()
+            return OK, self._messenger.metrics.text()
         try:
             call = self._adapter.decode_call(
                 req.method or "", req.path, req.body
--- a/crocusmux/daemons/forward_balancer.py
+++ b/crocusmux/daemons/forward_balancer.py
@@ -86,7 +86,7 @@
             self._start_from_peers(),
             self._tick(),
         ):
-            process.in_background(self._tasks, work)
+            forward.supervise(self._tasks, work)
 
     async def stop(self) -> None:
         """Leaves the rotation and passes segments on until others do."""
@@ -124,6 +124,8 @@
                 self._messenger.send(output.message, output.to)
             elif isinstance(output, outputs.Reset):
                 self._reset(output)
+            elif isinstance(output, outputs.Timing):
+                self._messenger.metrics.observe(output)
 
     def _reset(self, reset: outputs.Reset) -> None:
         data = self._adapter.encode_reset(reset.key, reset.seq)
@@ -214,7 +216,7 @@
         if req.path == STATE_PATH:
             return OK, msgspec.msgpack.encode(self._state())
         if req.path == METRICS_PATH:
-            return OK, self._messenger.counters.text().encode()
+            return OK, self._messenger.metrics.text()
         return NOT_FOUND, b""
 
     def _state(self) -> forwarding.State:
--- a/crocusmux/platform/hosts.py
+++ b/crocusmux/platform/hosts.py
@@ -10,6 +10,9 @@
 from crocusmux import forwarding
 
 SETTINGS_VARIABLE = "CROCUSMUX_BOOT"
+# Port of the metrics on each host, as deploy/system.toml names it: the one
+# that Prometheus exporters of OpenTelemetry use by default.
+METRICS_PORT = 9464
 
 
 class _Listen(msgspec.Struct):
@@ -86,7 +89,7 @@
         readiness=addresses.split(listen.readiness),
         control=addresses.split(listen.control or listen.readiness),
         messages=(boot.ip, boot.port_range[0]),
-        metrics=(boot.ip, boot.port_range[1]),
+        metrics=(boot.ip, METRICS_PORT),
         seeds=tuple(addresses.split(seed) for seed in boot.seeds),
         store=addresses.split(boot.platform.address),
         heartbeat_s=boot.heartbeat_ms / 1000,
--- a/features/forward_balancer.feature
+++ b/features/forward_balancer.feature
@@ -186,3 +186,12 @@
     And agent a takes 60 ms for a request and the others 20 ms
     When 600 callers open flows to rounds
     Then agent a is offered between 3 and 25 percent of them
+
+  # Guards against agents that count as silent in a large fleet, where reports
+  # are rarer.
+  Scenario: Silence is measured in the agent's own report intervals
+    Given a balancer with the agents a, b, c of rounds and d of wheelbook
+    And agents report every 2 s
+    When agent a stays silent for 5 s while others report
+    And 200 callers open flows to rounds
+    Then agent a is offered some of them
--- a/features/steps/forward_agent_steps.py
+++ b/features/steps/forward_agent_steps.py
@@ -63,7 +63,7 @@
     context.key = shared.flow_key(40001)
     context.outs = []
     context.core.on_subscribe(
-        context.now, reports.Subscribe("edge-1", BALANCER, 5, "")
+        context.now, reports.Subscribe("edge-1", BALANCER, 5, "", 10.0)
     )
 
 
--- a/features/steps/forward_balancer_steps.py
+++ b/features/steps/forward_balancer_steps.py
@@ -42,6 +42,7 @@
         "flows": 10,
         "service_ms": 30.0,
         "offers": 0,
+        "interval_s": 0.25,
         "config_version": 5,
         "config_source": "",
     }
@@ -133,6 +134,12 @@
     report_all(context, "bcd", service_ms=20.0)
 
 
+@given("agents report every {seconds:g} s")
+def report_interval(context, seconds):
+    context.interval_s = seconds
+    report_all(context, "abcd", interval_s=seconds)
+
+
 @when("a caller opens a flow to rounds")
 def open_flow(context):
     context.key = flow_key(40001)
@@ -160,6 +167,7 @@
                     sequence=context.sequence,
                     offers=number,
                     service_ms=known.service_ms,
+                    interval_s=known.interval_s,
                 )
                 context.core.on_message(context.now, changed)
 
@@ -231,7 +239,8 @@
 @when("agent a stays silent for {seconds:g} s while others report")
 def one_silent(context, seconds):
     context.now += seconds
-    report_all(context, "bcd")
+    interval_s = getattr(context, "interval_s", 0.25)
+    report_all(context, "bcd", interval_s=interval_s)
 
 
 @when("agent a reports that it takes flows")
@@ -362,6 +371,11 @@
     assert not set(host.split(", ")) & set(hosts)
 
 
+@then("agent a is offered some of them")
+def offered_some(context):
+    assert "a" in offered_hosts(context)
+
+
 @then("no agent is offered the flow and the caller gets no reset")
 def waits(context):
     assert not offers(context.outs) and not resets(context)
--- a/features/steps/forward_path_steps.py
+++ b/features/steps/forward_path_steps.py
@@ -419,8 +419,9 @@
         address = (ip, context.ports["metrics"])
         text = http_call(context, "GET", address, "/metrics").body.decode()
         lines = text.splitlines()
-        found = [x for x in lines if x.startswith("crocusmux_bad_input")]
-        return int(found[0].split()[-1]) if found else 0
+        name = 'crocusmux_events_total{what="bad-input"}'
+        found = [x for x in lines if x.startswith(name)]
+        return float(found[0].split()[-1]) if found else 0
 
     until(context, lambda: count("127.0.1.1") == 4)
     assert count("127.0.2.1") == 3
