--- a/crocusmux/core/forward/agent.py
+++ b/crocusmux/core/forward/agent.py
@@ -73,11 +73,10 @@
 
 
 class _Subscriber:
-    __slots__ = ("address", "offers", "until")
+    __slots__ = ("address", "until")
 
     def __init__(self, address: Address) -> None:
         self.address = address
-        self.offers = 0
         self.until = 0.0
 
 
@@ -151,9 +150,6 @@
         if reason and flow is None:
             return [self._declined(seg.key, balancer, reason)]
         if flow is None:
-            subscriber = self._subscribers.get(balancer[0])
-            if subscriber is not None:
-                subscriber.offers += 1
             flow = self._add(now, seg.key, balancer)
         flow.seen_at = now
         if self._unanswered_at is None:
@@ -440,7 +436,6 @@
             in_progress=round(self.load.mean(now), 2),
             flows=len(self._flows),
             service_ms=round(self.load.service_ms, 1),
-            offers=to.offers,
             interval_s=self._report_interval(),
             config_version=version,
             config_source=source,
--- a/crocusmux/core/forward/balancer.py
+++ b/crocusmux/core/forward/balancer.py
@@ -484,7 +484,7 @@
         load = report.in_progress if report else 0.0
         detail = (
             f"agent={chosen.record.host} service={flow.service}"
-            f" load={load:.1f} unreported={chosen.unreported()}"
+            f" load={load:.1f} unreported={chosen.offered - 1}"
             f" report_age={chosen.silent_s(now):.2f}"
             f" config={self.routes.version} tried={len(flow.offered)}"
         )
--- a/crocusmux/core/forward/reports.py
+++ b/crocusmux/core/forward/reports.py
@@ -35,8 +35,6 @@
         flows: Open flows.
         service_ms: Mean time from a request to its answer, milliseconds;
             0 if not known.
-        offers: New flows that the receiver has offered to this agent in
-            this boot of the agent.
         interval_s: Time until the next report, seconds.
         config_version: Newest version of the configuration among the
             agent's subscribers.
@@ -52,7 +50,6 @@
     in_progress: float
     flows: int
     service_ms: float
-    offers: int
     interval_s: float
     config_version: int
     config_source: str
--- a/crocusmux/core/forward/selection.py
+++ b/crocusmux/core/forward/selection.py
@@ -71,7 +71,7 @@
     if report is not None:
         service_ms = report.service_ms or UNKNOWN_SERVICE_MS
         slots, busy = max(report.slots, 1), report.in_progress
-    busy += upstream.unreported()
+    busy += upstream.offered
     used = min(busy / slots, FULL)
     wait = used ** ((2 * (slots + 1)) ** 0.5 - 1) / (slots * (1 - used))
     beyond = max(0.0, busy - FULL * slots) / slots
--- a/crocusmux/core/forward/upstreams.py
+++ b/crocusmux/core/forward/upstreams.py
@@ -44,14 +44,12 @@
         tag: Hash of the service name, as it travels with segments.
         report: Its newest load report; None before the first.
         reported_at: Time of that report, seconds; negative infinity before.
-        offered: New flows offered to it by this balancer in this boot.
+        offered: New flows offered to it since that report.
         paused_until: Time until which it gets no new flow, seconds.
-        declined: Consecutive new flows that it declined.
     """
 
     __slots__ = (
         "added_at",
-        "declined",
         "offered",
         "paused_until",
         "record",
@@ -68,13 +66,6 @@
         self.reported_at = float("-inf")
         self.offered = 0
         self.paused_until = float("-inf")
-        self.declined = 0
-
-    def unreported(self) -> int:
-        """Returns new flows offered to it that no report contains yet."""
-        if self.report is None:
-            return self.offered
-        return max(0, self.offered - self.report.offers)
 
     def silent_s(self, now: float) -> float:
         """Returns the time since its last report, seconds."""
@@ -167,14 +158,14 @@
         if upstream is None or upstream.record.service != report.service:
             return False
         known = upstream.report
-        if known is not None and known.boot == report.boot:
-            if report.sequence <= known.sequence:
-                return False
-        else:
-            # The agent restarted: its count of offers begins anew.
-            upstream.offered = report.offers
-            upstream.declined = 0
+        if (
+            known is not None
+            and known.boot == report.boot
+            and report.sequence <= known.sequence
+        ):
+            return False
         upstream.report = report
+        upstream.offered = 0
         upstream.reported_at = now
         return True
 
--- a/features/forward_balancer.feature
+++ b/features/forward_balancer.feature
@@ -195,3 +195,11 @@
     When agent a stays silent for 5 s while others report
     And 200 callers open flows to rounds
     Then agent a is offered some of them
+
+  # Guards against an agent that looks busier with each flow it declined: the
+  # count drifted to 65 in an incident, and the agent got no flows any more.
+  Scenario: Declined flows do not weigh on an agent after its next report
+    Given a balancer with the agents a, b, c of rounds and d of wheelbook
+    When agent a alone declines 300 flows, and then all report
+    And 200 callers open flows to rounds
+    Then agent a is offered between 20 and 45 percent of them
--- a/features/steps/forward_balancer_steps.py
+++ b/features/steps/forward_balancer_steps.py
@@ -3,6 +3,7 @@
 from behave import given
 from behave import then
 from behave import when
+import msgspec
 
 from crocusmux.core.forward import balancer
 from crocusmux.core.forward import flows
@@ -41,7 +42,6 @@
         "in_progress": 0.5,
         "flows": 10,
         "service_ms": 30.0,
-        "offers": 0,
         "interval_s": 0.25,
         "config_version": 5,
         "config_source": "",
@@ -155,21 +155,18 @@
         seg = segment(flow_key(30000 + port), opening=True)
         context.outs += context.core.on_segment(context.now, seg)
         if port % 10 == 9:
-            # Flows are reported, so that no agent looks busier by these.
-            counts = {}
-            for host in offered_hosts(context):
-                counts[host] = counts.get(host, 0) + 1
-            for host, number in counts.items():
-                known = context.core.directory.get(host).report
-                context.sequence += 1
-                changed = report(
-                    host,
-                    sequence=context.sequence,
-                    offers=number,
-                    service_ms=known.service_ms,
-                    interval_s=known.interval_s,
-                )
-                context.core.on_message(context.now, changed)
+            repeat_reports(context)
+
+
+def repeat_reports(context):
+    """All agents report as before, so that no offer is unreported."""
+    context.sequence += 1
+    for one in context.core.directory.all():
+        if one.report is not None and one.accepts(context.now):
+            again = msgspec.structs.replace(
+                one.report, sequence=context.sequence
+            )
+            context.core.on_message(context.now, again)
 
 
 @when("all agents report other loads")
@@ -371,6 +368,18 @@
     assert not set(host.split(", ")) & set(hosts)
 
 
+@when("agent {host} alone declines {count:d} flows, and then all report")
+def declines_many(context, host, count):
+    others = "abcd".replace(host, "")
+    report_all(context, others, accepting=False)
+    for port in range(count):
+        key = flow_key(20000 + port)
+        context.core.on_segment(context.now, segment(key, opening=True))
+        message = reports.Declined(host, key, "overload")
+        context.core.on_message(context.now, message)
+    report_all(context, "abcd")
+
+
 @then("agent a is offered some of them")
 def offered_some(context):
     assert "a" in offered_hosts(context)
