--- a/crocusmux/core/forward/balancer.py
+++ b/crocusmux/core/forward/balancer.py
@@ -138,6 +138,8 @@
             return self._on_opening(now, seg, flow)
         if flow is None:
             return self._on_unknown(now, seg)
+        if not flow.open:
+            self._openings.remove(seg.key)
         flow.note(seg)
         if flow.holder:
             return self._to_holder(now, seg, flow)
--- a/crocusmux/ui/app.py
+++ b/crocusmux/ui/app.py
@@ -17,6 +17,7 @@
 from crocusmux.ui import preset
 from crocusmux.ui import service
 from crocusmux.ui import status
+from crocusmux.ui import trace
 from crocusmux.ui import upstream
 
 RunLoop = Callable[[Coroutine[Any, Any, int]], int]
@@ -38,7 +39,7 @@
         self.run_loop = run_loop
         self.auto_exits(False)
         self.catch_exceptions(False)
-        for module in (daemon, preset, upstream, service, status):
+        for module in (daemon, preset, upstream, service, status, trace):
             for kind in module.COMMANDS:
                 self.add(kind())
 
--- a/features/forward_balancer.feature
+++ b/features/forward_balancer.feature
@@ -203,3 +203,13 @@
     When agent a alone declines 300 flows, and then all report
     And 200 callers open flows to rounds
     Then agent a is offered between 20 and 45 percent of them
+
+  # Guards against FLOW (a): a copy of the opening went through another
+  # balancer while this one let the flow wait, and the wait's end reset it.
+  Scenario: A flow that opens elsewhere while it waits is not refused
+    Given a balancer with the agents a, b, c of rounds and d of wheelbook
+    When a caller opens a flow to rounds
+    And every agent that is offered the flow declines it
+    And the caller sends 1 segments
+    And 1.25 s pass
+    Then the caller gets no reset
