--- a/crocusmux/core/forward/agent.py
+++ b/crocusmux/core/forward/agent.py
@@ -8,10 +8,9 @@
 from crocusmux.core.forward import upstreams
 
 TICK_S = 0.05
-REPORT_S = 0.25
-# With many balancers reports are rarer, so that an agent sends at most so
-# many a second.
-REPORTS_PER_S = 60
+# With many balancers reports are rarer than they ask for, so that an agent
+# sends at most so many a second.
+REPORTS_PER_S = 40
 EXPIRE_S = 1.0
 # A SYN is answered within a millisecond on the same host.  Without any
 # packet of the upstream for this time after a SYN it counts as silent.
@@ -22,6 +21,12 @@
 # time after which either end may forget them.
 FLOW_IDLE_S = 20.0
 MAX_FLOWS = 20_000
+# A flow that the upstream returned is not shown to it again for this time,
+# seconds: more than a lookup takes.
+ABSENT_S = 10.0
+# An upstream whose first heartbeat here has at most this sequence number
+# started after this agent, which therefore knows all its flows.
+FIRST_SEQUENCE = 1
 # New flows are declined while so many requests wait for each slot: they wait
 # at the balancers instead, where urgent ones go first.
 WAITING_A_SLOT = 2
@@ -73,10 +78,12 @@
 
 
 class _Subscriber:
-    __slots__ = ("address", "until")
+    __slots__ = ("address", "due", "interval_s", "until")
 
     def __init__(self, address: Address) -> None:
         self.address = address
+        self.due = 0.0
+        self.interval_s = 0.0
         self.until = 0.0
 
 
@@ -109,10 +116,11 @@
         self._boot = boot
         self._sequence = 0
         self._flows: dict[bytes, Flow] = {}
+        self._absent: dict[bytes, float] = {}
+        self._knows_all = False
         self._subscribers: dict[str, _Subscriber] = {}
         self._unanswered_at: float | None = None
         self._silent_at: float | None = None
-        self._report_at = 0.0
         self._expire_at = 0.0
         self._newest = (0, "")
         self._accepting = False
@@ -151,6 +159,7 @@
             return [self._declined(seg.key, balancer, reason)]
         if flow is None:
             flow = self._add(now, seg.key, balancer)
+            self._absent.pop(seg.key, None)
         flow.seen_at = now
         if self._unanswered_at is None:
             self._unanswered_at = now
@@ -178,13 +187,20 @@
 
         This agent may have restarted since the flow was opened.
         """
-        if seg.service_tag != self._tag:
+        if seg.service_tag != self._tag or self._is_absent(now, seg):
             return [self._not_held(seg.key, balancer)]
         flow = self._add(now, seg.key, balancer)
         flow.probing = True
         flow.ack = seg.ack
         return [outputs.ToUpstream(seg)]
 
+    def _is_absent(self, now: float, seg: segments.Segment) -> bool:
+        """Returns True if the upstream surely does not hold a flow."""
+        if seg.mark == segments.MARK_ASKING and self._knows_all:
+            return True
+        returned_at = self._absent.get(seg.key)
+        return returned_at is not None and now - returned_at < ABSENT_S
+
     def _opens(self, seg: segments.Segment, flow: Flow) -> bool:
         if flow.start is None:
             return False
@@ -269,6 +285,7 @@
             reason = reports.DECLINED_BY_UPSTREAM
             return [self._declined(seg.key, flow.balancer, reason)]
         if not flow.open:
+            self._absent[seg.key] = now
             return [self._not_held(seg.key, flow.balancer)]
         if flow.closing or seg.length == 0:
             return []
@@ -291,6 +308,9 @@
             return [outputs.Event("heartbeat-late", b"", detail, True)]
         sent = self._on_answering(now)
         if before is None or before.born_ms != beat.born_ms:
+            # With another boot all flows of the former one are gone.
+            first = beat.sequence <= FIRST_SEQUENCE
+            self._knows_all = before is not None or first
             detail = (
                 f"upstream={beat.upstream} born={beat.born_ms}"
                 f" slots={beat.slots} draining={beat.draining}"
@@ -330,21 +350,21 @@
         if message.config_version > self._newest[0]:
             self._newest = (message.config_version, message.config_source)
         ip = message.address[0]
-        subscriber = self._subscribers.get(ip)
-        if subscriber is not None:
-            subscriber.until = now + message.valid_s
-            return []
-        subscriber = _Subscriber(message.address)
+        known = self._subscribers.get(ip)
+        subscriber = known or _Subscriber(message.address)
         subscriber.until = now + message.valid_s
+        subscriber.interval_s = message.interval_s
+        if known is not None:
+            return []
         self._subscribers[ip] = subscriber
         return [self._report(now, subscriber)]
 
     def on_timer(self, now: float) -> Outputs:
         """Does what is due; call it every ``TICK_S``."""
         sent = self._check_silence(now)
-        if now >= self._report_at:
-            self._report_at = now + self._report_interval()
-            sent += self._report_all(now)
+        for subscriber in self._subscribers.values():
+            if subscriber.due <= now:
+                sent.append(self._report(now, subscriber))
         if now >= self._expire_at:
             self._expire_at = now + EXPIRE_S
             self._expire(now)
@@ -393,6 +413,9 @@
             if now - flow.seen_at > FLOW_IDLE_S:
                 self._end_request(now, flow, answered=False)
                 del self._flows[key]
+        for key, returned_at in list(self._absent.items()):
+            if now - returned_at >= ABSENT_S:
+                del self._absent[key]
         for ip, subscriber in list(self._subscribers.items()):
             if subscriber.until < now:
                 del self._subscribers[ip]
@@ -419,11 +442,11 @@
         found = self._subscribers.values()
         return [self._report(now, subscriber) for subscriber in found]
 
-    def _report_interval(self) -> float:
-        return max(REPORT_S, len(self._subscribers) / REPORTS_PER_S)
-
     def _report(self, now: float, to: _Subscriber) -> outputs.ToPeer:
         self._sequence += 1
+        own = len(self._subscribers) / REPORTS_PER_S
+        interval = max(to.interval_s, own)
+        to.due = now + interval
         beat = self.life.current
         version, source = self._newest
         report = reports.LoadReport(
@@ -436,7 +459,7 @@
             in_progress=round(self.load.mean(now), 2),
             flows=len(self._flows),
             service_ms=round(self.load.service_ms, 1),
-            interval_s=self._report_interval(),
+            interval_s=interval,
             config_version=version,
             config_source=source,
         )
--- a/crocusmux/core/forward/balancer.py
+++ b/crocusmux/core/forward/balancer.py
@@ -3,6 +3,7 @@
 import random
 
 from crocusmux.core.forward import flows
+from crocusmux.core.forward import lookup
 from crocusmux.core.forward import openings
 from crocusmux.core.forward import outputs
 from crocusmux.core.forward import reports
@@ -15,7 +16,11 @@
 # Agents are asked for reports so often, seconds.  With many agents it is
 # rarer, so that a balancer sends at most so many subscriptions a second.
 SUBSCRIBE_S = 2.0
-SUBSCRIPTIONS_PER_S = 50
+SUBSCRIPTIONS_PER_S = 20
+# Agents report so often, seconds.  With many agents it is rarer, so that a
+# balancer gets at most so many reports a second, about 4 KB.
+REPORT_S = 0.25
+REPORTS_PER_S = 40
 # Intervals for which a subscription is valid, as some datagrams are lost.
 SUBSCRIPTION_INTERVALS = 5
 EXPIRE_S = 1.0
@@ -34,15 +39,9 @@
     reports.DECLINED_BY_UPSTREAM,
     reports.DECLINED_UNKNOWN_STATE,
 )
-# Agents asked at once for an unknown flow.
-ASKED_AT_ONCE = 8
-# An unknown flow is looked for again after this time, seconds: longer than
-# the store's watch takes to show an agent that has just started.
-LOOK_AGAIN_S = 0.06
-# Times an unknown flow is looked for before its next segment arrives.
-MAX_LOOKS = 4
-# Looks in which all agents must deny a flow before it counts as lost.
-LOOKS_TO_LOSE = 2
+# Agents among which a flow is placed, the best by rendezvous hashing: those
+# that a lookup asks first.
+CANDIDATES = lookup.ASKED_AT_ONCE
 
 Outputs = list[outputs.Output]
 
@@ -85,7 +84,7 @@
         self._config_source = config_source
         self._rng = rng
         self._openings = openings.Openings()
-        self._looked_for: dict[bytes, flows.Flow] = {}
+        self._lookups: dict[bytes, flows.Flow] = {}
         self._subscribe_at = 0.0
         self._expire_at = 0.0
 
@@ -143,7 +142,7 @@
         flow.note(seg)
         if flow.holder:
             return self._to_holder(now, seg, flow)
-        if flow.offered:
+        if flow.offered and flow.lookup is None:
             return self._to_offered(now, seg, flow)
         return self._ask(now, seg, flow)
 
@@ -177,7 +176,7 @@
         for host in flow.offered[-1:]:
             upstream = self.directory.get(host)
             if upstream is not None:
-                upstream.paused_until = now + upstreams.UNANSWERED_PAUSE_S
+                upstream.unanswered = True
         return self._place(now, seg, flow)
 
     def _place(
@@ -188,12 +187,14 @@
         candidates = [
             one
             for one in self.directory.of((flow.service,))
-            if one.record.host not in tried
+            if one.record.host not in tried and one.accepts(now)
         ]
+        if len(candidates) > CANDIDATES:
+            candidates = upstreams.ranked(seg.key, candidates)[:CANDIDATES]
         chosen = None
         if len(flow.offered) + len(flow.busy) < MAX_OFFERS:
             chosen = selection.choose(
-                now, candidates, self._failure_domain, self._rng
+                candidates, self._failure_domain, self._rng
             )
         if chosen is None:
             return self._on_no_upstream(now, seg, flow)
@@ -265,72 +266,53 @@
             flow.held_at = now
             flow.opening = None
             return self._to_holder(now, seg, flow)
+        # The caller's acknowledgement tells whose SYN+ACK it took.
         known = [self.directory.get(host) for host in flow.offered]
-        return self._ask_agents(now, seg, flow, [x for x in known if x])
+        flow.lookup = lookup.Lookup(now, seg)
+        self._lookups[seg.key] = flow
+        asked = flow.lookup.next_round(now, [x for x in known if x])
+        return [_question(seg, one) for one in asked]
 
     def _ask(
         self, now: float, seg: segments.Segment, flow: flows.Flow
     ) -> Outputs:
-        """Sends a segment to all agents that may hold its flow."""
-        agents = self._candidates(seg.key)
-        if agents is None:
+        """Sends a segment to agents that may hold its flow."""
+        if flow.lookup is None:
+            flow.lookup = lookup.Lookup(now, seg)
+        search = flow.lookup
+        search.segment = seg
+        search.rounds = 0
+        self._lookups[seg.key] = flow
+        if search.waits(now):
+            known = map(self.directory.get, search.current())
+            return [_question(seg, one) for one in known if one]
+        return self._ask_round(now, search)
+
+    def _ask_round(self, now: float, search: lookup.Lookup) -> Outputs:
+        seg = search.segment
+        route = self.routes.find(seg.key)
+        if route is None:
             return [outputs.Reset(seg.key, seg.ack)]
-        left = [x for x in agents if x.record.host not in flow.denied]
-        if len(left) > ASKED_AT_ONCE:
-            left = upstreams.ranked(seg.key, left)[:ASKED_AT_ONCE]
-        return self._ask_agents(now, seg, flow, left)
-
-    def _candidates(self, key: bytes) -> list[upstreams.Upstream] | None:
-        """Returns all agents that may hold a flow; None without a route."""
-        route = self.routes.find(key)
-        return None if route is None else self.directory.of(route.services())
-
-    def _ask_agents(
-        self,
-        now: float,
-        seg: segments.Segment,
-        flow: flows.Flow,
-        agents: list[upstreams.Upstream],
-    ) -> Outputs:
-        first = not flow.asked
-        flow.last = seg
-        flow.asked.update(one.record.host for one in agents)
-        flow.asked_at = now
-        self._looked_for[seg.key] = flow
-        sent: Outputs = [
-            outputs.ToAgent(
-                one.record.address, seg, one.tag, segments.MARK_ASKING
-            )
-            for one in agents
+        agents = self.directory.of(route.services())
+        asked = search.next_round(now, agents)
+        detail = f"agents={len(asked)} of={len(agents)}"
+        detail += f" searches={search.searches} config={self.routes.version}"
+        return [
+            outputs.Event("ask", seg.key, detail),
+            *(_question(seg, one) for one in asked),
         ]
-        if first:
-            detail = f"agents={len(agents)} config={self.routes.version}"
-            sent.append(outputs.Event("ask", seg.key, detail))
-        return sent
 
-    def _look_again(self, now: float) -> Outputs:
-        """Asks again for flows that no agent has claimed."""
+    def _ask_on(self, now: float) -> Outputs:
+        """Asks on for flows that no agent has claimed."""
         sent: Outputs = []
-        for key, flow in list(self._looked_for.items()):
-            if now - flow.asked_at < LOOK_AGAIN_S:
-                continue
-            if flow.holder or flow.last is None or flow.looks >= MAX_LOOKS:
-                del self._looked_for[key]
-                continue
-            flow.looks += 1
-            flow.denied.clear()
-            sent += self._ask(now, flow.last, flow)
+        for key, flow in list(self._lookups.items()):
+            search = flow.lookup
+            if search is None or search.rounds >= lookup.MAX_ROUNDS:
+                del self._lookups[key]
+            elif now - search.asked_at >= lookup.ROUND_S:
+                sent += self._ask_round(now, search)
         return sent
 
-    def _denied_by_all(self, now: float, key: bytes, flow: flows.Flow) -> bool:
-        """Returns True if no agent that may live can hold a flow."""
-        if flow.looks + 1 < LOOKS_TO_LOSE:
-            return False
-        return all(
-            one.record.host in flow.denied or one.lost(now)
-            for one in self._candidates(key) or ()
-        )
-
     # Messages
 
     def on_message(self, now: float, message: reports.Message) -> Outputs:
@@ -390,8 +372,8 @@
             return []
         flow.holder = message.host
         flow.held_at = now
-        flow.last = flow.opening = None
-        self._looked_for.pop(message.key, None)
+        flow.last = flow.opening = flow.lookup = None
+        self._lookups.pop(message.key, None)
         detail = f"agent={message.host}"
         return [outputs.Event("held", message.key, detail)]
 
@@ -399,44 +381,49 @@
         flow = self.flows.get(message.key)
         if flow is None:
             return []
-        flow.denied.add(message.host)
-        former = flow.holder == message.host
-        if former and now - flow.held_at <= CONFIRMED_S:
-            # It was only assumed to hold the flow: another balancer may have
-            # offered a copy of the opening elsewhere.
-            flow.holder = ""
-            return self._ask(now, flow.last, flow) if flow.last else []
-        if not former and (
-            flow.holder or not self._denied_by_all(now, message.key, flow)
-        ):
-            return self._ask_others(now, flow)
-        return self._lost(message, flow, former)
+        if flow.holder == message.host:
+            return self._on_holder_denies(now, message, flow)
+        search = flow.lookup
+        if search is None:
+            return []
+        all_asked_deny = search.deny(message.host)
+        route = self.routes.find(message.key)
+        agents = self.directory.of(route.services()) if route else []
+        if search.denied_by_all(now, agents):
+            if search.searches >= lookup.SEARCHES_TO_LOSE:
+                return self._lost(message, flow, "denied-by-all")
+            return []
+        return self._ask_round(now, search) if all_asked_deny else []
+
+    def _on_holder_denies(
+        self, now: float, message: reports.NotHeld, flow: flows.Flow
+    ) -> Outputs:
+        if now - flow.held_at > CONFIRMED_S:
+            return self._lost(message, flow, "lost-by-holder")
+        # It was only assumed to hold the flow: another balancer may have
+        # offered a copy of the opening elsewhere.
+        flow.holder = ""
+        if flow.last is None:
+            return []
+        flow.lookup = lookup.Lookup(now, flow.last)
+        flow.lookup.deny(message.host)
+        return self._ask(now, flow.last, flow)
 
     def _lost(
-        self, message: reports.NotHeld, flow: flows.Flow, former: bool
+        self, message: reports.NotHeld, flow: flows.Flow, reason: str
     ) -> Outputs:
         """Ends a flow that its holder has lost, or that nobody has."""
         self.flows.remove(message.key)
-        self._looked_for.pop(message.key, None)
+        self._lookups.pop(message.key, None)
         if not flow.data_sent:
             # A late acknowledgement of a flow that has ended.
             return []
-        reason = "lost-by-holder" if former else "denied-by-all"
-        detail = f"reason={reason} agent={message.host} looks={flow.looks}"
+        detail = f"reason={reason} agent={message.host}"
         return [
             outputs.Event("flow-lost", message.key, detail, True),
             outputs.Reset(message.key, flow.ack),
         ]
 
-    def _ask_others(self, now: float, flow: flows.Flow) -> Outputs:
-        """Asks the agents beyond the first ones once those have denied."""
-        if flow.holder or flow.last is None or not flow.asked <= flow.denied:
-            return []
-        agents = self._candidates(flow.last.key) or []
-        if all(one.record.host in flow.denied for one in agents):
-            return []
-        return self._ask(now, flow.last, flow)
-
     # Time
 
     def on_timer(self, now: float) -> Outputs:
@@ -449,12 +436,16 @@
             self._expire_at = now + EXPIRE_S
             idle = self.routes.idle_s + IDLE_SLACK_S
             self.flows.expire(now - idle)
-        sent += self._look_again(now)
+        sent += self._ask_on(now)
         for one in self._openings.expired(now):
             sent += self._give_up(one.key, one.flow, "no-upstream-in-time")
         sent += self._place_waiting(now)
         return sent
 
+    def _report_interval(self) -> float:
+        agents = len(self.directory.hosts())
+        return max(REPORT_S, agents / REPORTS_PER_S)
+
     def _subscribe_interval(self) -> float:
         agents = len(self.directory.hosts())
         return max(SUBSCRIBE_S, agents / SUBSCRIPTIONS_PER_S)
@@ -471,6 +462,7 @@
             self.routes.version,
             self._config_source,
             SUBSCRIPTION_INTERVALS * self._subscribe_interval(),
+            self._report_interval(),
         )
 
     # Log and refusals
@@ -511,3 +503,11 @@
     return outputs.ToAgent(
         upstream.record.address, seg, upstream.tag, segments.MARK_DIRECT
     )
+
+
+def _question(
+    seg: segments.Segment, upstream: upstreams.Upstream
+) -> outputs.ToAgent:
+    return outputs.ToAgent(
+        upstream.record.address, seg, upstream.tag, segments.MARK_ASKING
+    )
--- a/crocusmux/core/forward/flows.py
+++ b/crocusmux/core/forward/flows.py
@@ -1,5 +1,6 @@
 """Flows as a balancer knows them."""
 
+from crocusmux.core.forward import lookup
 from crocusmux.core.forward import segments
 
 # Flows that a balancer remembers; the oldest leave first.  An entry takes
@@ -17,12 +18,9 @@
         offered: Hosts that got its opening and did not decline, in order.
         busy: Hosts that had no room for it in this turn.
         declined: Hosts that declined it for good.
-        asked: Hosts that were asked whether they hold it.
-        asked_at: Time at which they were asked last, seconds.
-        denied: Hosts that answered that they do not, since that time.
-        looks: Times it was looked for again.
         opening: The caller's SYN while the flow is not open.
-        last: The newest segment while the holder is not known.
+        last: The newest segment while the holder is only assumed.
+        lookup: The search for its holder; None if there is none.
         ack: The caller's last acknowledgement.
         opened_at: Time of its first segment here, seconds.
         offered_at: Time of its last offer, seconds.
@@ -33,16 +31,13 @@
 
     __slots__ = (
         "ack",
-        "asked",
-        "asked_at",
         "busy",
         "data_sent",
         "declined",
-        "denied",
         "held_at",
         "holder",
         "last",
-        "looks",
+        "lookup",
         "offered",
         "offered_at",
         "open",
@@ -59,11 +54,8 @@
         self.held_at = now
         self.busy: set[str] = set()
         self.declined: set[str] = set()
-        self.asked: set[str] = set()
-        self.asked_at = now
-        self.looks = 0
-        self.denied: set[str] = set()
         self.opening: segments.Segment | None = None
+        self.lookup: lookup.Lookup | None = None
         self.last: segments.Segment | None = None
         self.ack = 0
         self.opened_at = now
--- a/crocusmux/core/forward/reports.py
+++ b/crocusmux/core/forward/reports.py
@@ -12,6 +12,7 @@
         config_version: Version of the configuration that it has.
         config_source: Address that serves this configuration by HTTP.
         valid_s: Time for which it wants reports, seconds.
+        interval_s: Time between two reports that it wants, seconds.
     """
 
     balancer: str
@@ -19,6 +20,7 @@
     config_version: int
     config_source: str
     valid_s: float
+    interval_s: float
 
 
 class LoadReport(msgspec.Struct, frozen=True, tag="l", array_like=True):
--- a/crocusmux/core/forward/selection.py
+++ b/crocusmux/core/forward/selection.py
@@ -18,23 +18,21 @@
 
 
 def choose(
-    now: float,
     candidates: Sequence[upstreams.Upstream],
     failure_domain: str,
     rng: random.Random,
 ) -> upstreams.Upstream | None:
-    """Returns the upstream for a new flow; None if none takes one now.
+    """Returns the upstream for a new flow; None without candidates.
 
     Two candidates are drawn by their capacity, and the one with the lower
     expected time to an answer is taken.
 
     Args:
-        now: Time in seconds.
-        candidates: Upstreams that may get the flow.
+        candidates: Upstreams that take new flows.
         failure_domain: Failure domain of the balancer.
         rng: Random numbers.
     """
-    usable = [one for one in candidates if one.accepts(now)]
+    usable = list(candidates)
     if not usable:
         return None
     if len(usable) > COMPARED:
--- a/crocusmux/core/forward/upstreams.py
+++ b/crocusmux/core/forward/upstreams.py
@@ -13,8 +13,6 @@
 # restart of an agent takes.
 LOST_S = 4.0
 LOST_REPORTS = 8
-# Time without a choice after an opening stayed unanswered there, seconds.
-UNANSWERED_PAUSE_S = 0.4
 
 
 class Record(msgspec.Struct, frozen=True):
@@ -45,17 +43,18 @@
         report: Its newest load report; None before the first.
         reported_at: Time of that report, seconds; negative infinity before.
         offered: New flows offered to it since that report.
-        paused_until: Time until which it gets no new flow, seconds.
+        unanswered: True if an opening stayed unanswered there since its
+            last report.
     """
 
     __slots__ = (
         "added_at",
         "offered",
-        "paused_until",
         "record",
         "report",
         "reported_at",
         "tag",
+        "unanswered",
     )
 
     def __init__(self, now: float, record: Record) -> None:
@@ -65,7 +64,7 @@
         self.report: reports.LoadReport | None = None
         self.reported_at = float("-inf")
         self.offered = 0
-        self.paused_until = float("-inf")
+        self.unanswered = False
 
     def silent_s(self, now: float) -> float:
         """Returns the time since its last report, seconds."""
@@ -83,7 +82,7 @@
             self.report is not None
             and self.report.accepting
             and self.silent_s(now) < SILENT_REPORTS * self.report.interval_s
-            and self.paused_until <= now
+            and not self.unanswered
         )
 
 
@@ -166,6 +165,7 @@
             return False
         upstream.report = report
         upstream.offered = 0
+        upstream.unanswered = False
         upstream.reported_at = now
         return True
 
--- a/features/forward_agent.feature
+++ b/features/forward_agent.feature
@@ -135,3 +135,34 @@
     And the first request arrives again
     Then no request is in progress
 
+
+  # Guards against reports that take more than their share of a large fleet.
+  Scenario: With many balancers reports are bounded
+    Given an agent of rounds whose upstream is ready
+    When 100 more balancers subscribe for reports every 0.25 s
+    And 10 s pass at the agent
+    Then it sent between 300 and 450 reports that promise the next in 2.525 s
+
+  # Guards against FLOW (b): packets of a flow that reach other upstreams
+  # again and again while its own agent is away (grown deployment, trouble-1).
+  Scenario: A flow that the upstream returned is not shown to it again
+    Given an agent of rounds without a heartbeat
+    When a balancer asks for a flow that the agent does not know
+    And the upstream returns the segment
+    And a balancer asks for a flow that the agent does not know
+    Then the upstream does not get it
+    And the balancer is told that the flow is not held
+
+  # Guards against packets of foreign flows at an upstream whose flows are all
+  # known.
+  Scenario: An agent that saw its upstream start denies unknown flows itself
+    Given an agent of rounds whose upstream is ready
+    When a balancer asks for a flow that the agent does not know
+    Then the upstream does not get it
+    And the balancer is told that the flow is not held
+
+  # Guards against denials by an agent that restarted.
+  Scenario: An agent that started after its upstream asks it
+    Given an agent of rounds that first heard its upstream at sequence 30
+    When a balancer asks for a flow that the agent does not know
+    Then the upstream gets it
--- a/features/forward_balancer.feature
+++ b/features/forward_balancer.feature
@@ -47,6 +47,7 @@
     Given a balancer with the agents a, b, c of rounds and d of wheelbook
     When agent a stays silent for 1.5 s while others report
     And a segment of an unknown flow to rounds arrives
+    And agents b, c answer that they do not hold the flow
     And 0.1 s pass
     And agents b, c answer that they do not hold the flow
     Then the caller gets no reset
@@ -56,6 +57,7 @@
     Given a balancer with the agents a, b, c of rounds and d of wheelbook
     When agent a stays silent for 4.5 s while others report
     And a segment of an unknown flow to rounds arrives
+    And agents b, c answer that they do not hold the flow
     And 0.1 s pass
     And agents b, c answer that they do not hold the flow
     Then the caller gets a reset near its acknowledgement
@@ -213,3 +215,19 @@
     And the caller sends 1 segments
     And 1.25 s pass
     Then the caller gets no reset
+
+  # Guards against a search that stops at the first agents: one of them was
+  # silent, and the others were never asked (grown deployment, trouble-1).
+  Scenario: A search goes on past agents that do not answer
+    Given a balancer with 30 agents of rounds
+    When a segment of an unknown flow to rounds arrives
+    Then 8 agents are asked for it
+    When 7 of them deny it and 0.5 s pass
+    Then all 30 agents were asked for it
+
+  # Guards against a flow that no search finds after a re-hash.
+  Scenario: A new flow goes to one of the agents that a search asks first
+    Given a balancer with 30 agents of rounds
+    When a caller opens a flow to rounds
+    And another balancer searches for that flow
+    Then the agent that was offered the flow is among the first 8 asked
--- a/features/steps/forward_agent_steps.py
+++ b/features/steps/forward_agent_steps.py
@@ -63,7 +63,7 @@
     context.key = shared.flow_key(40001)
     context.outs = []
     context.core.on_subscribe(
-        context.now, reports.Subscribe("edge-1", BALANCER, 5, "", 10.0)
+        context.now, reports.Subscribe("edge-1", BALANCER, 5, "", 10.0, 0.25)
     )
 
 
@@ -74,6 +74,15 @@
     context.core.on_heartbeat(context.now, beat)
 
 
+@given(
+    "an agent of rounds that first heard its upstream at sequence {number:d}"
+)
+def late_agent(context, number):
+    new_agent(context)
+    beat = heartbeats_steps.heartbeat(BORN_MS, number)
+    context.core.on_heartbeat(context.now, beat)
+
+
 @given("an open flow")
 def one_open_flow(context):
     context.open_key = shared.flow_key(50001)
@@ -171,6 +180,26 @@
     from_balancer(context, segment(context.keys[0], length=100))
 
 
+@when("{count:d} more balancers subscribe for reports every {interval:g} s")
+def many_subscribe(context, count, interval):
+    for number in range(count):
+        address = (f"10.0.3.{number}", 7720)
+        message = reports.Subscribe(
+            f"edge-{number}", address, 5, "", 60.0, interval
+        )
+        context.core.on_subscribe(context.now, message)
+
+
+@then(
+    "it sent between {low:d} and {high:d} reports that promise the next in"
+    " {interval:g} s"
+)
+def bounded_reports(context, low, high, interval):
+    found = messages(context, reports.LoadReport)
+    assert low <= len(found) <= high, len(found)
+    assert found[-1].interval_s == interval, found[-1]
+
+
 @then("the upstream gets it")
 def upstream_gets(context):
     assert len(kinds(context, outputs.ToUpstream)) == 1, context.outs
--- a/features/steps/forward_balancer_steps.py
+++ b/features/steps/forward_balancer_steps.py
@@ -111,6 +111,20 @@
     report_all(context, "abcd")
 
 
+@given("a balancer with {count:d} agents of rounds")
+def balancer_with_many(context, count):
+    start(context)
+    add_many(context, count)
+
+
+def add_many(context, count):
+    context.hosts = [f"h{number}" for number in range(count)]
+    for number, host in enumerate(context.hosts):
+        ip = f"10.0.2.{number}"
+        context.core.add_agent(context.now, record(host, "rounds", ip))
+    report_all(context, context.hosts)
+
+
 @given("a balancer with a route but without reports")
 def balancer_without_reports(context):
     start(context)
@@ -299,6 +313,55 @@
     assert sorted(hosts + context.offered) == ["a", "b", "c"], hosts
 
 
+@when("{count:d} of them deny it and 0.5 s pass")
+def some_deny(context, count):
+    hosts = [host_at(context, o.to) for o in asked(context)]
+    context.asked = set(hosts)
+    outs = []
+    for host in hosts[:count]:
+        message = reports.NotHeld(host, context.key)
+        outs += context.core.on_message(context.now, message)
+    for _ in range(10):
+        context.now += 0.05
+        outs += context.core.on_timer(context.now)
+    context.outs = outs
+
+
+@when("another balancer searches for that flow")
+def other_balancer(context):
+    offered, key = context.offered, context.key
+    start(context)
+    add_many(context, 30)
+    context.offered, context.key = offered, key
+    seg = segment(key, ack=77_000, length=100)
+    context.outs = context.core.on_segment(context.now, seg)
+
+
+def asked(context):
+    return [
+        o
+        for o in context.outs
+        if isinstance(o, outputs.ToAgent) and o.mark == segments.MARK_ASKING
+    ]
+
+
+@then("{count:d} agents are asked for it")
+def count_asked(context, count):
+    assert len(asked(context)) == count
+
+
+@then("all {count:d} agents were asked for it")
+def all_asked(context, count):
+    hosts = {host_at(context, o.to) for o in asked(context)}
+    assert len(hosts | context.asked) == count
+
+
+@then("the agent that was offered the flow is among the first 8 asked")
+def offered_is_asked(context):
+    hosts = [host_at(context, o.to) for o in asked(context)]
+    assert len(hosts) == 8 and context.offered[0] in hosts
+
+
 @then("one agent of rounds is offered the flow")
 def one_offer(context):
     hosts = offered_hosts(context)
@@ -319,9 +382,8 @@
 
 @then("the agents a, b, c are asked for it")
 def agents_asked(context):
-    sent = [o for o in context.outs if isinstance(o, outputs.ToAgent)]
+    sent = asked(context)
     assert [host_at(context, o.to) for o in sent] == ["a", "b", "c"]
-    assert all(o.mark == segments.MARK_ASKING for o in sent)
 
 
 @then("both offered agents are asked for it")
--- a/features/steps/forward_path_steps.py
+++ b/features/steps/forward_path_steps.py
@@ -67,16 +67,23 @@
 
 
 def free_ports(count):
-    """Returns ports that are free on all loopback addresses now."""
-    held, ports = [], []
-    for _ in range(count):
-        for kind in (socket.SOCK_DGRAM, socket.SOCK_STREAM):
-            sock = socket.socket(socket.AF_INET, kind)
-            wanted = ports[-1] if kind == socket.SOCK_STREAM else 0
-            sock.bind(("0.0.0.0", wanted))
-            held.append(sock)
-            if kind == socket.SOCK_DGRAM:
-                ports.append(sock.getsockname()[1])
+    """Returns ports that are free on all loopback addresses now.
+
+    A port that is free for UDP may be taken by a TCP connection that has just
+    ended, so both are tried.
+    """
+    ports, held = [], []
+    while len(ports) < count:
+        datagrams = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        stream = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        held += [datagrams, stream]
+        datagrams.bind(("0.0.0.0", 0))
+        port = datagrams.getsockname()[1]
+        try:
+            stream.bind(("0.0.0.0", port))
+        except OSError:
+            continue
+        ports.append(port)
     for sock in held:
         sock.close()
     return ports
