--- a/crocusmux/core/forward/balancer.py
+++ b/crocusmux/core/forward/balancer.py
@@ -176,7 +176,7 @@
         for host in flow.offered[-1:]:
             upstream = self.directory.get(host)
             if upstream is not None:
-                upstream.unanswered = True
+                upstream.avoided = True
         return self._place(now, seg, flow)
 
     def _place(
@@ -357,6 +357,7 @@
         if flow is None or flow.open or message.host not in flow.offered:
             return []
         flow.offered.remove(message.host)
+        self._note_decline(now, message)
         if message.reason in PASSING:
             flow.busy.add(message.host)
         else:
@@ -366,6 +367,15 @@
             return sent
         return sent + self._place(now, flow.opening, flow)
 
+    def _note_decline(self, now: float, message: reports.Declined) -> None:
+        upstream = self.directory.get(message.host)
+        if upstream is None:
+            return
+        if message.reason == reports.DECLINED_OVERLOAD:
+            upstream.full_until = now + upstreams.FULL_S
+        elif message.reason in reports.DECLINED_BY_STATE:
+            upstream.avoided = True
+
     def _on_held(self, now: float, message: reports.Held) -> Outputs:
         flow = self.flows.get(message.key)
         if flow is None:
--- a/crocusmux/core/forward/reports.py
+++ b/crocusmux/core/forward/reports.py
@@ -92,4 +92,13 @@
 DECLINED_OVERLOAD = "overload"
 DECLINED_SILENT = "upstream-silent"
 
+# Reasons that last until the agent's next report at least.
+DECLINED_BY_STATE = (
+    DECLINED_LEAVING,
+    DECLINED_UNKNOWN_STATE,
+    DECLINED_OTHER_SERVICE,
+    DECLINED_BY_UPSTREAM,
+    DECLINED_SILENT,
+)
+
 Message = Subscribe | LoadReport | Held | NotHeld | Declined
--- a/crocusmux/core/forward/upstreams.py
+++ b/crocusmux/core/forward/upstreams.py
@@ -13,6 +13,9 @@
 # restart of an agent takes.
 LOST_S = 4.0
 LOST_REPORTS = 8
+# An agent that declined a flow for lack of room gets no other one for this
+# time, seconds: about one service time.
+FULL_S = 0.03
 
 
 class Record(msgspec.Struct, frozen=True):
@@ -43,18 +46,20 @@
         report: Its newest load report; None before the first.
         reported_at: Time of that report, seconds; negative infinity before.
         offered: New flows offered to it since that report.
-        unanswered: True if an opening stayed unanswered there since its
-            last report.
+        avoided: True if an opening stayed unanswered there, or its upstream
+            returned one, since its last report.
+        full_until: Time until which it counts as full, seconds.
     """
 
     __slots__ = (
         "added_at",
+        "avoided",
+        "full_until",
         "offered",
         "record",
         "report",
         "reported_at",
         "tag",
-        "unanswered",
     )
 
     def __init__(self, now: float, record: Record) -> None:
@@ -64,7 +69,8 @@
         self.report: reports.LoadReport | None = None
         self.reported_at = float("-inf")
         self.offered = 0
-        self.unanswered = False
+        self.avoided = False
+        self.full_until = float("-inf")
 
     def silent_s(self, now: float) -> float:
         """Returns the time since its last report, seconds."""
@@ -82,7 +88,8 @@
             self.report is not None
             and self.report.accepting
             and self.silent_s(now) < SILENT_REPORTS * self.report.interval_s
-            and not self.unanswered
+            and not self.avoided
+            and self.full_until <= now
         )
 
 
@@ -165,7 +172,7 @@
             return False
         upstream.report = report
         upstream.offered = 0
-        upstream.unanswered = False
+        upstream.avoided = False
         upstream.reported_at = now
         return True
 
--- a/features/forward_balancer.feature
+++ b/features/forward_balancer.feature
@@ -97,6 +97,14 @@
     When 0.05 s pass
     Then one agent of rounds is offered the flow
 
+  # Guards against messages that an overload multiplies.
+  Scenario: An agent that declined for lack of room is spared for a moment
+    Given a balancer with the agents a, b, c of rounds and d of wheelbook
+    When a caller opens a flow to rounds
+    And every agent that is offered the flow declines it
+    And 5 callers open flows to rounds
+    Then no agent is offered the flow and the caller gets no reset
+
   # Guards against a wait that outlasts the caller: the reset is a true
   # "not run", while the caller still listens.
   Scenario: A flow that finds no room within its caller's patience is refused
