--- a/features/steps/forward_balancer_steps.py
+++ b/features/steps/forward_balancer_steps.py
@@ -439,6 +439,7 @@
         context.core.on_segment(context.now, segment(key, opening=True))
         message = reports.Declined(host, key, "overload")
         context.core.on_message(context.now, message)
+        context.now += 0.05
     report_all(context, "abcd")
 
 
