--- a/crocusmux/core/forward/balancer.py
+++ b/crocusmux/core/forward/balancer.py
@@ -222,9 +222,10 @@
         )
         if route is None or hopeless:
             return self._give_up(seg.key, flow, "no-upstream")
+        waited = seg.key in self._openings
         waiting = openings.Waiting(seg.key, flow, route)
         if self._openings.add(now, waiting):
-            return []
+            return [] if waited else [self._waits(seg.key, flow, agents)]
         return self._give_up(seg.key, flow, "no-upstream-in-time")
 
     def _give_up(self, key: bytes, flow: flows.Flow, reason: str) -> Outputs:
@@ -494,6 +495,16 @@
         )
         return outputs.Event("place", key, detail)
 
+    def _waits(
+        self, key: bytes, flow: flows.Flow, agents: list[upstreams.Upstream]
+    ) -> outputs.Event:
+        detail = (
+            f"service={flow.service} agents={len(agents)}"
+            f" busy={len(flow.busy)} declined={len(flow.declined)}"
+            f" waiting={len(self._openings)} config={self.routes.version}"
+        )
+        return outputs.Event("wait", key, detail)
+
     def _refuse(
         self, key: bytes, reason: str, flow: flows.Flow | None = None
     ) -> Outputs:
--- a/crocusmux/core/forward/openings.py
+++ b/crocusmux/core/forward/openings.py
@@ -58,6 +58,9 @@
     def __len__(self) -> int:
         return len(self._waiting)
 
+    def __contains__(self, key: bytes) -> bool:
+        return key in self._waiting
+
     def add(self, now: float, waiting: Waiting) -> bool:
         """Lets a flow wait; returns False if it cannot wait any longer."""
         if now >= waiting.until or len(self._waiting) >= MAX_WAITING:
--- a/crocusmux/tracing.py
+++ b/crocusmux/tracing.py
@@ -117,6 +117,7 @@
         "place": "It was offered to an upstream and nothing ended it here",
         "held": "It is held by an agent and nothing ended it here",
         "ask": "Its holder was not found in these logs",
+        "wait": "It waited for an upstream and no later decision is here",
         "declined": "It was declined and no later decision is in these logs",
     }
     own = [line for line in lines if line.event in ends]
