--- a/crocusmux/core/forward/agent.py
+++ b/crocusmux/core/forward/agent.py
@@ -161,7 +161,7 @@
             flow = self._add(now, seg.key, balancer)
             self._absent.pop(seg.key, None)
         flow.seen_at = now
-        if self._unanswered_at is None:
+        if self._unanswered_at is None and not flow.open:
             self._unanswered_at = now
         return [outputs.ToUpstream(seg)]
 
@@ -383,10 +383,18 @@
             sent.append(outputs.Event("upstream-silent", b"", detail, True))
             sent += self._decline_pending()
             sent += self._report_change(now)
-        if self._silent_at is not None and now - self._silent_at >= DEAD_S:
+        if self._dead(now):
             sent += self._reset_all(now)
         return sent
 
+    def _dead(self, now: float) -> bool:
+        """Returns True if the upstream is silent and has missed a heartbeat."""
+        return (
+            self._silent_at is not None
+            and now - self._silent_at >= DEAD_S
+            and self.life.missed(now)
+        )
+
     def _decline_pending(self) -> Outputs:
         reason = reports.DECLINED_SILENT
         sent: Outputs = []
--- a/crocusmux/core/forward/balancer.py
+++ b/crocusmux/core/forward/balancer.py
@@ -124,7 +124,9 @@
         if self.routes.version == 0:
             return False
         agents = self.directory.all()
-        return not agents or any(one.report is not None for one in agents)
+        if not agents:
+            return self.directory.complete
+        return any(one.report is not None for one in agents)
 
     # Segments
 
@@ -139,7 +141,8 @@
             return self._on_unknown(now, seg)
         if not flow.open:
             self._openings.remove(seg.key)
-        flow.note(seg)
+        if not seg.opening:
+            flow.note(seg)
         if flow.holder:
             return self._to_holder(now, seg, flow)
         if flow.offered and flow.lookup is None:
@@ -234,11 +237,10 @@
         return self._refuse(key, reason, flow)
 
     def _on_unknown(self, now: float, seg: segments.Segment) -> Outputs:
-        if seg.reset or self.routes.version == 0:
+        # Without a route nothing is answered: the flow may have been opened
+        # by a balancer that has a newer configuration.
+        if seg.reset or self.routes.find(seg.key) is None:
             return []
-        route = self.routes.find(seg.key)
-        if route is None:
-            return [outputs.Reset(seg.key, seg.ack)]
         flow = self.flows.add(now, seg.key)
         flow.note(seg)
         return self._ask(now, seg, flow)
--- a/crocusmux/core/forward/heartbeats.py
+++ b/crocusmux/core/forward/heartbeats.py
@@ -4,6 +4,8 @@
 
 # Longest time between two heartbeats of a live upstream, in intervals.
 OVERDUE_INTERVALS = 2.5
+# Time without a heartbeat after which one was missed, in intervals.
+MISSED_INTERVALS = 1.25
 
 
 class Heartbeat(msgspec.Struct, frozen=True, kw_only=True):
@@ -82,6 +84,10 @@
         limit = OVERDUE_INTERVALS * self._interval_s
         return self.current is not None and now - self.beat_at > limit
 
+    def missed(self, now: float) -> bool:
+        """Returns True if a heartbeat was missed."""
+        return now - self.beat_at > MISSED_INTERVALS * self._interval_s
+
     def draining(self) -> bool:
         """Returns True if the current boot takes no new flows."""
         return self.gone or (self.current is not None and self.current.draining)
--- a/features/forward_agent.feature
+++ b/features/forward_agent.feature
@@ -101,7 +101,7 @@
     Given an agent of rounds whose upstream is ready
     And an open flow
     When a balancer sends an opening
-    And 0.8 s pass at the agent
+    And 1.6 s pass at the agent
     Then the caller of the open flow gets a reset
 
   # Guards against a reset of flows whose upstream only missed heartbeats.
@@ -166,3 +166,20 @@
     Given an agent of rounds that first heard its upstream at sequence 30
     When a balancer asks for a flow that the agent does not know
     Then the upstream gets it
+
+  # Guards against FLOW (a) on a quiet day: one lost datagram is not a death.
+  Scenario: An upstream whose heartbeats go on is not dead
+    Given an agent of rounds whose upstream is ready
+    And an open flow
+    When a balancer sends an opening
+    And the upstream beats on while 1.4 s pass at the agent
+    Then the agent sends no reset
+
+  # Guards against a silence that a copy of an opening feigns: an upstream need
+  # not answer it for a flow that is open.
+  Scenario: A copy of the opening of an open flow needs no answer
+    Given an agent of rounds whose upstream is ready
+    And an open flow
+    When the opening of the open flow arrives again
+    And 0.3 s pass at the agent
+    Then the agent reports that it takes flows
--- a/features/forward_balancer.feature
+++ b/features/forward_balancer.feature
@@ -239,3 +239,26 @@
     When a caller opens a flow to rounds
     And another balancer searches for that flow
     Then the agent that was offered the flow is among the first 8 asked
+
+  # Guards against FLOW (a): a balancer that has not heard of a new route yet
+  # gets a packet of an open flow after a re-hash.
+  Scenario: A segment of a flow to a route that is not known is not answered
+    Given a balancer with the agents a, b, c of rounds and d of wheelbook
+    When a segment of an unknown flow to an unknown route arrives
+    Then the caller gets no reset
+
+  # Guards against a balancer in rotation that knows no agents yet.
+  Scenario: A balancer is ready once the list of agents is complete
+    Given a balancer with a route and no list of agents
+    Then the balancer is not ready
+    Given a balancer with a route and a complete list without agents
+    Then the balancer is ready
+
+  # Guards against a reset outside of the caller's window.
+  Scenario: A late copy of the opening does not count as an acknowledgement
+    Given a balancer with the agents a, b, c of rounds and d of wheelbook
+    When a caller opens a flow to rounds
+    And the caller sends 1 segments
+    And the caller repeats its opening after 1.2 s
+    And the agent that was offered the flow answers that it does not hold it
+    Then the caller gets a reset near its acknowledgement
--- a/features/steps/forward_agent_steps.py
+++ b/features/steps/forward_agent_steps.py
@@ -160,6 +160,22 @@
         context.outs += context.core.on_timer(context.now)
 
 
+@when("the upstream beats on while {seconds:g} s pass at the agent")
+def beats_on(context, seconds):
+    outs = []
+    for sequence in range(2, 4):
+        time_passes(context, seconds / 2)
+        outs += context.outs
+        beat = heartbeats_steps.heartbeat(BORN_MS, sequence)
+        outs += context.core.on_heartbeat(context.now, beat)
+    context.outs = outs
+
+
+@when("the opening of the open flow arrives again")
+def opening_again(context):
+    from_balancer(context, segment(context.open_key, opening=True, ack=1))
+
+
 @when("{count:d} flows with a request each are open")
 def open_requests(context, count):
     context.keys = [shared.flow_key(42000 + n) for n in range(count)]
--- a/features/steps/forward_balancer_steps.py
+++ b/features/steps/forward_balancer_steps.py
@@ -204,6 +204,24 @@
     context.outs = context.core.on_segment(context.now, seg)
 
 
+@when("a segment of an unknown flow to an unknown route arrives")
+def unknown_route(context):
+    address = routes.route_bytes(("198.18.0.77", 443))
+    context.key = CALLER + b"\x9c\x42" + address
+    seg = segment(context.key, ack=77_000, length=100)
+    context.outs = context.core.on_segment(context.now, seg)
+
+
+@then("the balancer is not ready")
+def balancer_not_ready(context):
+    assert not context.core.ready()
+
+
+@then("the balancer is ready")
+def balancer_ready(context):
+    assert context.core.ready()
+
+
 @when("agent {host} answers that it holds the flow")
 def answer_held(context, host):
     context.core.on_message(context.now, reports.Held(host, context.key))
