--- a/crocusmux/core/forward/balancer.py
+++ b/crocusmux/core/forward/balancer.py
@@ -297,6 +297,8 @@
         if route is None:
             return [outputs.Reset(seg.key, seg.ack)]
         agents = self.directory.of(route.services())
+        if search.denied_by_all(now, agents) and search.over():
+            return self._lost(seg.key, "denied-by-all")
         asked = search.next_round(now, agents)
         detail = f"agents={len(asked)} of={len(agents)}"
         detail += f" searches={search.searches} config={self.routes.version}"
@@ -403,16 +405,15 @@
         route = self.routes.find(message.key)
         agents = self.directory.of(route.services()) if route else []
         if search.denied_by_all(now, agents):
-            if search.searches >= lookup.SEARCHES_TO_LOSE:
-                return self._lost(message, flow, "denied-by-all")
-            return []
+            over = search.over()
+            return self._lost(message.key, "denied-by-all") if over else []
         return self._ask_round(now, search) if all_asked_deny else []
 
     def _on_holder_denies(
         self, now: float, message: reports.NotHeld, flow: flows.Flow
     ) -> Outputs:
         if now - flow.held_at > CONFIRMED_S:
-            return self._lost(message, flow, "lost-by-holder")
+            return self._lost(message.key, "lost-by-holder")
         # It was only assumed to hold the flow: another balancer may have
         # offered a copy of the opening elsewhere.
         flow.holder = ""
@@ -422,19 +423,18 @@
         flow.lookup.deny(message.host)
         return self._ask(now, flow.last, flow)
 
-    def _lost(
-        self, message: reports.NotHeld, flow: flows.Flow, reason: str
-    ) -> Outputs:
+    def _lost(self, key: bytes, reason: str) -> Outputs:
         """Ends a flow that its holder has lost, or that nobody has."""
-        self.flows.remove(message.key)
-        self._lookups.pop(message.key, None)
-        if not flow.data_sent:
+        flow = self.flows.get(key)
+        self.flows.remove(key)
+        self._lookups.pop(key, None)
+        if flow is None or not flow.data_sent:
             # A late acknowledgement of a flow that has ended.
             return []
-        detail = f"reason={reason} agent={message.host}"
+        detail = f"reason={reason} agent={flow.holder or '-'} ack={flow.ack}"
         return [
-            outputs.Event("flow-lost", message.key, detail, True),
-            outputs.Reset(message.key, flow.ack),
+            outputs.Event("flow-lost", key, detail, True),
+            outputs.Reset(key, flow.ack),
         ]
 
     # Time
--- a/crocusmux/core/forward/lookup.py
+++ b/crocusmux/core/forward/lookup.py
@@ -58,6 +58,7 @@
         """
         self.asked_at = now
         self.rounds += 1
+        agents = [one for one in agents if not one.lost(now)]
         fresh = [x for x in agents if x.record.host not in self._asked]
         if not fresh:
             # All were asked; those without an answer are asked again.
@@ -76,6 +77,10 @@
         """Returns the hosts of the current round that have not denied."""
         return [host for host in self._current if host not in self._denied]
 
+    def over(self) -> bool:
+        """Returns True after enough searches that all agents denied."""
+        return self.searches >= SEARCHES_TO_LOSE
+
     def deny(self, host: str) -> bool:
         """Takes a denial; returns True if all that were asked have denied."""
         self._asked.add(host)
@@ -87,8 +92,12 @@
     ) -> bool:
         """Returns True if no agent that may live can hold the flow.
 
-        It ends a search; the next round begins another one.
+        Without any denial it is False: a balancer that hears nobody may be
+        the one that is cut off.  True ends a search, and the next round
+        begins another one.
         """
+        if not self._denied:
+            return False
         for one in agents:
             if one.record.host not in self._denied and not one.lost(now):
                 return False
--- a/crocusmux/daemons/forward_agent.py
+++ b/crocusmux/daemons/forward_agent.py
@@ -70,12 +70,13 @@
         forward.supervise(self._tasks, self._announce())
 
     async def stop(self) -> None:
-        """Takes no new flows; withdraws if the upstream is gone."""
+        """Takes no new flows; withdraws unless the upstream stays."""
+        stays = self.core.accepting(self._loop.time())
         self._do(self.core.stop(self._loop.time()))
-        if self.core.life.gone:
-            await self._withdraw()
-        else:
+        if stays:
             await process.wait_until(self._idle, STOP_S)
+        else:
+            await self._withdraw()
         for task in list(self._tasks):
             task.cancel()
 
--- a/features/forward_balancer.feature
+++ b/features/forward_balancer.feature
@@ -262,3 +262,19 @@
     And the caller repeats its opening after 1.2 s
     And the agent that was offered the flow answers that it does not hold it
     Then the caller gets a reset near its acknowledgement
+
+  # Guards against a search that never ends: agents whose host is gone for good
+  # never answer, and the others have denied before they count as lost (grown
+  # deployment, after a loss of power).
+  Scenario: A flow is reset once the agents that did not deny it are lost
+    Given a balancer with 30 agents of rounds
+    When a segment of an unknown flow to rounds arrives
+    And 20 agents report and deny it while the caller repeats it for 6 s
+    Then the caller gets a reset near its acknowledgement
+
+  # Guards against FLOW (a): a balancer that is cut off from all agents.
+  Scenario: A flow is not reset while nobody answers at all
+    Given a balancer with 30 agents of rounds
+    When a segment of an unknown flow to rounds arrives
+    And 0 agents report and deny it while the caller repeats it for 6 s
+    Then the caller gets no reset
--- a/features/steps/forward_balancer_steps.py
+++ b/features/steps/forward_balancer_steps.py
@@ -345,6 +345,34 @@
     context.outs = outs
 
 
+@when(
+    "{count:d} agents report and deny it while the caller repeats it for"
+    " {seconds:d} s"
+)
+def report_and_deny(context, count, seconds):
+    live = context.hosts[:count]
+    outs, sent = [], list(context.outs)
+    for turn in range(seconds * 20):
+        context.now += 0.05
+        if turn % 4 == 0:
+            report_all(context, live)
+            seg = segment(context.key, ack=77_000, length=100)
+            sent += context.core.on_segment(context.now, seg)
+        for one in [o for o in sent if isinstance(o, outputs.ToAgent)]:
+            host = host_at(context, one.to)
+            if host in live:
+                message = reports.NotHeld(host, context.key)
+                outs += context.core.on_message(context.now, message)
+        sent = [o for o in outs if isinstance(o, outputs.ToAgent)]
+        context.outs = outs
+        if resets(context):
+            return
+        outs = [] if not resets(context) else outs
+        outs += context.core.on_timer(context.now)
+        sent += [o for o in outs if isinstance(o, outputs.ToAgent)]
+    context.outs = outs
+
+
 @when("another balancer searches for that flow")
 def other_balancer(context):
     offered, key = context.offered, context.key
