--- a/crocusmux/daemons/forward.py
+++ b/crocusmux/daemons/forward.py
@@ -17,6 +17,7 @@
 from crocusmux import metrics
 from crocusmux.core.forward import outputs
 from crocusmux.core.forward import reports
+from crocusmux.core.forward import segments
 from crocusmux.daemons import process
 from crocusmux.daemons import udp
 
@@ -73,6 +74,28 @@
         detail = f"sender={sender} error={str(exc)!r}"
         self.note(outputs.Event("bad-input", b"", detail))
 
+    def receiver(
+        self,
+        decode: Callable[[bytes], segments.Segment],
+        take: Callable[[segments.Segment, forwarding.Address], None],
+    ) -> udp.Receiver:
+        """Returns a function that decodes datagrams; bad ones are counted.
+
+        Args:
+            decode: Decodes a segment; raises ``errors.WireError``.
+            take: Takes each segment with its sender.
+        """
+
+        def receive(data: bytes, sender: forwarding.Address) -> None:
+            try:
+                seg = decode(data)
+            except errors.WireError as exc:
+                self.note_bad_input(exc, sender)
+                return
+            take(seg, sender)
+
+        return receive
+
     def _on_datagram(self, data: bytes, sender: forwarding.Address) -> None:
         try:
             message = _decoder.decode(data)
--- a/crocusmux/daemons/forward_agent.py
+++ b/crocusmux/daemons/forward_agent.py
@@ -15,6 +15,7 @@
 from crocusmux.core.forward import heartbeats
 from crocusmux.core.forward import outputs
 from crocusmux.core.forward import reports
+from crocusmux.core.forward import segments
 from crocusmux.core.forward import upstreams
 from crocusmux.daemons import forward
 from crocusmux.daemons import process
@@ -57,8 +58,13 @@
         self._messenger = forward.Messenger(
             cfg.messages, self._on_message, self._loop.time
         )
-        self._segments = udp.UdpSocket(cfg.segments, self._on_datagram)
-        self._outbound = udp.UdpSocket(cfg.outbound, self._on_upstream)
+        receiver = self._messenger.receiver
+        from_caller = receiver(adapter.decode_from_caller, self._on_caller)
+        self._segments = udp.UdpSocket(cfg.segments, from_caller)
+        from_upstream = receiver(
+            adapter.decode_from_upstream, self._on_upstream
+        )
+        self._outbound = udp.UdpSocket(cfg.outbound, from_upstream)
 
     async def start(self) -> None:
         """Starts serving and announces itself."""
@@ -85,21 +91,16 @@
 
     # Segments and messages
 
-    def _on_datagram(self, data: bytes, sender: forwarding.Address) -> None:
-        try:
-            seg = self._adapter.decode_from_caller(data)
-        except errors.WireError as exc:
-            self._messenger.note_bad_input(exc, sender)
-            return
+    def _on_caller(
+        self, seg: segments.Segment, sender: forwarding.Address
+    ) -> None:
         now = self._loop.time()
         self._do(self.core.on_caller_segment(now, seg, sender))
 
-    def _on_upstream(self, data: bytes, sender: forwarding.Address) -> None:
-        try:
-            seg = self._adapter.decode_from_upstream(data)
-        except errors.WireError as exc:
-            self._messenger.note_bad_input(exc, sender)
-            return
+    def _on_upstream(
+        self, seg: segments.Segment, sender: forwarding.Address
+    ) -> None:
+        del sender
         self._do(self.core.on_upstream_segment(self._loop.time(), seg))
 
     def _on_message(
--- a/crocusmux/daemons/forward_balancer.py
+++ b/crocusmux/daemons/forward_balancer.py
@@ -13,6 +13,7 @@
 from crocusmux.core.forward import balancer
 from crocusmux.core.forward import outputs
 from crocusmux.core.forward import reports
+from crocusmux.core.forward import segments
 from crocusmux.core.forward import upstreams
 from crocusmux.daemons import follow
 from crocusmux.daemons import forward
@@ -66,7 +67,10 @@
         self._messenger = forward.Messenger(
             cfg.messages, self._on_message, self._loop.time
         )
-        self._segments = udp.UdpSocket(cfg.segments, self._on_datagram)
+        receive = self._messenger.receiver(
+            adapter.decode_from_caller, self._on_segment
+        )
+        self._segments = udp.UdpSocket(cfg.segments, receive)
         self._agents = follow.Follower(
             adapter.store, adapter.agent_kind, self._on_agents, rng
         )
@@ -97,12 +101,10 @@
 
     # Segments and messages
 
-    def _on_datagram(self, data: bytes, sender: forwarding.Address) -> None:
-        try:
-            seg = self._adapter.decode_from_caller(data)
-        except errors.WireError as exc:
-            self._messenger.note_bad_input(exc, sender)
-            return
+    def _on_segment(
+        self, seg: segments.Segment, sender: forwarding.Address
+    ) -> None:
+        del sender
         self._do(self.core.on_segment(self._loop.time(), seg))
 
     def _on_message(
