--- a/crocusmux/core/forward/segments.py
+++ b/crocusmux/core/forward/segments.py
@@ -67,10 +67,13 @@
 
 
 def answers_opening(ack: int, start: int) -> bool:
-    """Returns True if ``ack`` acknowledges a sequence that began at ``start``.
+    """Returns True if ``ack`` answers a SYN+ACK of sequence ``start``.
+
+    Until a request has reached the upstream it sends no data, so the caller
+    acknowledges the SYN+ACK alone.
 
     Args:
         ack: Acknowledgement of the caller.
         start: Sequence number of the upstream's SYN+ACK.
     """
-    return 0 < (ack - start) % SEQUENCE_MODULUS <= SEQUENCE_WINDOW
+    return ack == (start + 1) % SEQUENCE_MODULUS
--- a/features/forward_agent.feature
+++ b/features/forward_agent.feature
@@ -183,3 +183,12 @@
     When the opening of the open flow arrives again
     And 0.3 s pass at the agent
     Then the agent reports that it takes flows
+
+  # Guards against UNASKED and FLOW: two upstreams whose sequences are close.
+  Scenario: An acknowledgement near another upstream's sequence opens nothing
+    Given an agent of rounds whose upstream is ready
+    When a balancer sends an opening
+    And the upstream answers the opening with sequence 5000
+    And the caller acknowledges 5002
+    Then the upstream does not get it
+    And the balancer is told that the flow is not held
