--- a/crocusmux/core/forward/segments.py
+++ b/crocusmux/core/forward/segments.py
@@ -9,10 +9,6 @@
 import msgspec
 
 SEQUENCE_MODULUS = 1 << 32
-# A receiver takes a reset whose sequence lies this close to its last
-# acknowledgement, in bytes (source: the platform's protocol).
-SEQUENCE_WINDOW = 76_800
-
 # Bytes of a flow key: address and port of the caller, then of the route.
 KEY_BYTES = 12
 
--- a/features/steps/forward_agent_steps.py
+++ b/features/steps/forward_agent_steps.py
@@ -247,7 +247,7 @@
 def reset_near(context, ack):
     (reset,) = kinds(context, outputs.Reset)
     assert reset.key == context.open_key
-    assert abs(reset.seq - ack) < segments.SEQUENCE_WINDOW
+    assert abs(reset.seq - ack) < shared.RESET_WINDOW
 
 
 @then("the caller of the open flow gets a reset")
--- a/features/steps/forward_balancer_steps.py
+++ b/features/steps/forward_balancer_steps.py
@@ -15,6 +15,9 @@
 from crocusmux.core.forward import upstreams
 
 ROUNDS = ("198.18.0.1", 443)
+# A caller takes a reset whose sequence lies this close to its last
+# acknowledgement, in bytes (source: the platform's protocol).
+RESET_WINDOW = 76_800
 OWN = ("10.0.0.9", 7720)
 CALLER = b"\x64\x40\x00\x07"
 
@@ -453,7 +456,7 @@
 def reset_in_window(context):
     (reset,) = resets(context)
     assert reset.key == context.key
-    assert abs(reset.seq - 77_000) < segments.SEQUENCE_WINDOW
+    assert abs(reset.seq - 77_000) < RESET_WINDOW
 
 
 @then("another agent of rounds is offered the flow")
