--- a/crocusmux/core/forward/agent.py
+++ b/crocusmux/core/forward/agent.py
@@ -42,6 +42,7 @@
         balancer: Address of the balancer that sent its last segment.
         start: Sequence number of the upstream's SYN+ACK; None before.
         open: True once the caller has acknowledged it here.
+        taken: True once the upstream has sent more than its SYN+ACK.
         probing: True if it is not known whether the upstream holds it.
         closing: True once either end has closed or reset it.
         ack: The caller's last acknowledgement.
@@ -61,6 +62,7 @@
         "seen_at",
         "sent",
         "start",
+        "taken",
         "waited",
     )
 
@@ -68,6 +70,7 @@
         self.balancer = balancer
         self.start: int | None = None
         self.open = False
+        self.taken = False
         self.probing = False
         self.closing = False
         self.ack = 0
@@ -264,6 +267,8 @@
                 sent.append(outputs.ToPeer(flow.balancer, held))
         if seg.opening:
             flow.start = seg.seq
+        else:
+            flow.taken = True
         if seg.length and flow.began_at:
             took = now - flow.began_at
             sent.append(outputs.Timing(outputs.ANSWERED, took))
@@ -277,14 +282,14 @@
     def _on_returned(
         self, now: float, seg: segments.Segment, flow: Flow | None
     ) -> Outputs:
-        if flow is None:
+        if flow is None or (seg.opening and flow.open):
             return []
         del self._flows[seg.key]
         self._end_request(now, flow, answered=False)
         if seg.opening:
             reason = reports.DECLINED_BY_UPSTREAM
             return [self._declined(seg.key, flow.balancer, reason)]
-        if not flow.open:
+        if not flow.taken:
             self._absent[seg.key] = now
             return [self._not_held(seg.key, flow.balancer)]
         if flow.closing or seg.length == 0:
--- a/features/forward_agent.feature
+++ b/features/forward_agent.feature
@@ -192,3 +192,23 @@
     And the caller acknowledges 5002
     Then the upstream does not get it
     And the balancer is told that the flow is not held
+
+  # Guards against FLOW (a): a late copy of the opening that the upstream
+  # returns must not make the agent forget the flow.
+  Scenario: A returned copy of the opening leaves an open flow alone
+    Given an agent of rounds whose upstream is ready
+    And an open flow
+    When the upstream returns a copy of the opening of the open flow
+    And a balancer asks for the open flow
+    Then the upstream gets it
+
+  # Guards against FLOW (a): the flow may be at another upstream, whose answer
+  # to a copy of the opening the caller took.
+  Scenario: A flow of which the upstream took nothing is denied, not reset
+    Given an agent of rounds whose upstream is ready
+    When a balancer sends an opening
+    And the upstream answers the opening with sequence 5000
+    And the caller acknowledges 5001
+    And the upstream returns the segment
+    Then the agent sends no reset
+    And the balancer is told that the flow is not held
--- a/features/steps/forward_agent_steps.py
+++ b/features/steps/forward_agent_steps.py
@@ -45,6 +45,7 @@
     from_balancer(context, segment(key, opening=True, ack=0))
     from_upstream(context, segment(key, False, opening=True, seq=5000))
     from_balancer(context, segment(key, ack=5001))
+    from_upstream(context, segment(key, False, seq=5001))
 
 
 def kinds(context, kind):
@@ -171,6 +172,18 @@
     context.outs = outs
 
 
+@when("the upstream returns a copy of the opening of the open flow")
+def opening_returned(context):
+    seg = segment(context.open_key, returned=True, opening=True, ack=1)
+    from_upstream(context, seg)
+
+
+@when("a balancer asks for the open flow")
+def asks_open(context):
+    seg = segment(context.open_key, length=10, mark=segments.MARK_ASKING)
+    from_balancer(context, seg)
+
+
 @when("the opening of the open flow arrives again")
 def opening_again(context):
     from_balancer(context, segment(context.open_key, opening=True, ack=1))
