--- a/bench/capacity_measure.py
+++ b/bench/capacity_measure.py
@@ -24,8 +24,9 @@
 from crocusmux import wire
 from crocusmux.core.control import config
 from crocusmux.core.control import controlplane
-from crocusmux.core.control import membership
+from crocusmux.core.control import membership_messages
 from crocusmux.core.control import spread
+from crocusmux.core.control import spread_messages
 from crocusmux.core.flows import agent as agent_core
 from crocusmux.core.flows import balancer as balancer_core
 from crocusmux.core.flows import directory
@@ -170,10 +171,10 @@
     return store
 
 
-def make_row(index: int, role: str = "agent") -> spread.Row:
+def make_row(index: int, role: str = "agent") -> spread_messages.Row:
     """Returns the row of a daemon."""
     ip = f"10.{index >> 8}.{index & 255}.7"
-    return spread.Row(
+    return spread_messages.Row(
         name=f"upstream-{index:04d}",
         role=role,
         failure_domain=f"domain-{index % 4}",
@@ -296,7 +297,7 @@
         # Decoded within the measurement, as a daemon gets rows by message.
         rows = [(make_row(index), 1) for index in range(count)]
         sender = make_row(5001).name
-        data = encode(controlplane.Envelope(sender, spread.Rows(rows)))
+        data = encode(controlplane.Envelope(sender, spread_messages.Rows(rows)))
         points.append((count, traced(functools.partial(_learn, decode, data))))
     return {"known_daemon_bytes": fit(points, "bytes/daemon")}
 
@@ -602,7 +603,9 @@
 
     row = make_row(1)
     beats = [(spread.row_hash(make_row(i)), 3) for i in range(16)]
-    digest = spread.Digest(row, 10**6, 2**63, 0, beats, [(row, 1), (row, 2)])
+    digest = spread_messages.Digest(
+        row, 10**6, 2**63, 0, beats, [(row, 1), (row, 2)]
+    )
     key = slots.service_key("service-0000")
     load = messages.Load(
         upstream="service-0000-1",
@@ -617,14 +620,16 @@
     query = messages.SlotQuery(key, 5000, 0, "upstream-0001", (1, 2, 3))
     figures: dict[str, Any] = {
         "digest_bytes": size(digest),
-        "announce_bytes": size(spread.Announce([("services/service-1", 9)])),
-        "want_bytes": size(spread.Want(["services/service-1"])),
+        "announce_bytes": size(
+            spread_messages.Announce([("services/service-1", 9)])
+        ),
+        "want_bytes": size(spread_messages.Want(["services/service-1"])),
         "load_report_bytes": len(pack(messages.LoadReport(key, load, 5000))),
         "slot_query_bytes": len(pack(query)),
     }
     upstreams: Points = []
     for count in (1, 5, 10, 20):
-        record = membership.Record(
+        record = membership_messages.Record(
             row.name,
             row.failure_domain,
             row.udp,
@@ -632,14 +637,16 @@
             row.control,
             row.incarnation,
             tuple(
-                membership.ServiceUpstream(
+                membership_messages.ServiceUpstream(
                     f"service-{i:04d}",
                     make_member(f"service-{i:04d}", 1, 0).upstreams[0],
                 )
                 for i in range(count)
             ),
         )
-        upstreams.append((count, size(membership.Announcement(record))))
+        upstreams.append(
+            (count, size(membership_messages.Announcement(record)))
+        )
     bodies: Points = []
     packed: Points = []
     for count in (5, 50, 200, 1_000):
--- a/bench/control.py
+++ b/bench/control.py
@@ -19,6 +19,7 @@
 from crocusmux import objects
 from crocusmux.core.control import config
 from crocusmux.core.control import membership
+from crocusmux.core.control import membership_messages
 
 DAY_S = 86_400
 FULL = 1_300  # daemons at the target
@@ -115,10 +116,10 @@
 
     def record(
         self, host: str, incarnation: int, state: objects.State
-    ) -> membership.Record:
+    ) -> membership_messages.Record:
         """Returns the record of a host."""
         domain, _ = _place(host)
-        return membership.Record(
+        return membership_messages.Record(
             host=host,
             failure_domain=domain,
             agent="10.11.12.13:7001",
@@ -126,7 +127,7 @@
             control=f"tcp://{host}:7000",
             incarnation=incarnation,
             upstreams=tuple(
-                membership.ServiceUpstream(
+                membership_messages.ServiceUpstream(
                     service,
                     objects.Upstream(
                         name=f"{host}-{index}",
--- a/bench/control_fleet.py
+++ b/bench/control_fleet.py
@@ -15,7 +15,9 @@
 from crocusmux.core.control import config
 from crocusmux.core.control import controlplane
 from crocusmux.core.control import membership
+from crocusmux.core.control import membership_messages
 from crocusmux.core.control import spread
+from crocusmux.core.control import spread_messages
 from crocusmux.daemons import control
 
 KEY = bytes(range(32))
@@ -93,7 +95,7 @@
     def __init__(
         self,
         fleet: "Fleet",
-        row: spread.Row,
+        row: spread_messages.Row,
         peers: list[str],
         store: config.ConfigStore,
     ) -> None:
@@ -109,7 +111,7 @@
         self.cpu = 0.0
         self.sent = self.sent_bytes = 0
         self.received = self.received_bytes = 0
-        self.record: membership.Record | None = None
+        self.record: membership_messages.Record | None = None
         self.revision = 0
         self._watching = False
         self._timer = float("inf")
@@ -117,7 +119,7 @@
         self._in_force = 0
 
     @property
-    def row(self) -> spread.Row:
+    def row(self) -> spread_messages.Row:
         """The daemon's row in the table of known daemons."""
         return self.plane.spread.row
 
@@ -385,7 +387,7 @@
         """Starts a daemon; one of the same name must have ended."""
         self._started += 1
         url = f"tcp://{name}:7000"
-        row = spread.Row(
+        row = spread_messages.Row(
             name=name,
             role=role,
             failure_domain=domain,
--- a/bench/faults.py
+++ b/bench/faults.py
@@ -7,7 +7,7 @@
 from bench import control_fleet as fleet
 from bench import driver
 from crocusmux import objects
-from crocusmux.core.control import membership
+from crocusmux.core.control import membership_messages
 
 DOMAINS = (("fd0", "r0"), ("fd1", "r0"), ("fd2", "r1"))
 BALANCERS = 3
@@ -55,13 +55,13 @@
 
     def record(
         self, node: fleet.Node, state: objects.State
-    ) -> membership.Record:
+    ) -> membership_messages.Record:
         """Returns an agent's record with all upstreams in a state."""
         row = node.row
         index = int(row.name.removeprefix("a"))
         services = {f"s{index % SERVICES}", f"s{(index + 1) % SERVICES}"}
         upstreams = tuple(
-            membership.ServiceUpstream(
+            membership_messages.ServiceUpstream(
                 service,
                 objects.Upstream(
                     name=f"{row.name}-{service}",
@@ -71,7 +71,7 @@
             )
             for service in sorted(services)
         )
-        return membership.Record(
+        return membership_messages.Record(
             host=row.name,
             failure_domain=row.failure_domain,
             agent="127.0.0.1:7001",
--- a/bench/views.py
+++ b/bench/views.py
@@ -12,6 +12,7 @@
 
 from bench import control
 from crocusmux.core.control import spread
+from crocusmux.core.control import spread_messages
 
 BUCKET_ROWS = 4
 PROBE_S = 3.0
@@ -31,7 +32,7 @@
         return (spread.hash_text(name) ^ self._own_hash).bit_length()
 
     def _learn(
-        self, now: float, row: spread.Row, heard: float
+        self, now: float, row: spread_messages.Row, heard: float
     ) -> spread.Known | None:
         if row.name not in self._known and row.name != self.row.name:
             bucket = self._bucket(row.name)
--- a/crocusmux/core/control/controlplane.py
+++ b/crocusmux/core/control/controlplane.py
@@ -15,25 +15,27 @@
 from crocusmux import objects
 from crocusmux.core.control import config
 from crocusmux.core.control import membership
+from crocusmux.core.control import membership_messages
 from crocusmux.core.control import spread
+from crocusmux.core.control import spread_messages
 
 DRAIN_UNLISTED_S = 600.0
 
 AnyMessage = (
-    spread.Digest
-    | spread.Nodes
-    | spread.Leaves
-    | spread.Announce
-    | spread.Want
-    | spread.Objects
-    | spread.Contact
-    | spread.Drains
-    | spread.WantRows
-    | spread.Rows
-    | membership.Announcement
-    | membership.Accepted
-    | membership.Confirm
-    | membership.Suspect
+    spread_messages.Digest
+    | spread_messages.Nodes
+    | spread_messages.Leaves
+    | spread_messages.Announce
+    | spread_messages.Want
+    | spread_messages.Objects
+    | spread_messages.Contact
+    | spread_messages.Drains
+    | spread_messages.WantRows
+    | spread_messages.Rows
+    | membership_messages.Announcement
+    | membership_messages.Accepted
+    | membership_messages.Confirm
+    | membership_messages.Suspect
 )
 
 
@@ -56,7 +58,7 @@
 
     def __init__(
         self,
-        row: spread.Row,
+        row: spread_messages.Row,
         store: config.ConfigStore,
         peers: Iterable[str],
         rng: random.Random,
@@ -94,20 +96,22 @@
             errors.WireError: Its content is malformed.
         """
         message, sender = envelope.message, envelope.sender
-        if isinstance(message, membership.Announcement):
+        if isinstance(message, membership_messages.Announcement):
             answer = self.members.on_announcement(
                 now, message, self.spread.row.control
             )
             return [spread.Send(message.record.control, answer)]
-        if isinstance(message, membership.Confirm):
+        if isinstance(message, membership_messages.Confirm):
             return self._route(now, self.members.on_confirm(now, message))
-        if isinstance(message, membership.Accepted):
+        if isinstance(message, membership_messages.Accepted):
             return self._route(now, self.members.on_accepted(now, message))
-        if isinstance(message, membership.Suspect):
+        if isinstance(message, membership_messages.Suspect):
             return self._route(now, self._suspect(now, message))
         return self._route(now, self.spread.on_message(now, sender, message))
 
-    def announce(self, now: float, record: membership.Record) -> list[Any]:
+    def announce(
+        self, now: float, record: membership_messages.Record
+    ) -> list[Any]:
         """Announces this host's record."""
         return self._route(now, self.members.announce(now, record))
 
@@ -205,18 +209,20 @@
         for row in found:
             if row.name != own.name:
                 out.append(spread.Send(row.control, item.message))
-            elif isinstance(item.message, membership.Announcement):
+            elif isinstance(item.message, membership_messages.Announcement):
                 answer = self.members.on_announcement(
                     now, item.message, own.control, own=True
                 )
-                if isinstance(answer, membership.Accepted):
+                if isinstance(answer, membership_messages.Accepted):
                     done = self.members.on_accepted(now, answer)
                     out += self._route(now, done)
-            elif isinstance(item.message, membership.Suspect):
+            elif isinstance(item.message, membership_messages.Suspect):
                 out += self._route(now, self._suspect(now, item.message))
         return out
 
-    def _suspect(self, now: float, report: membership.Suspect) -> list[Any]:
+    def _suspect(
+        self, now: float, report: membership_messages.Suspect
+    ) -> list[Any]:
         names = [row.name for row in self.spread.all_watchers(now)]
         own = self.spread.row.name
         ranks = {}
--- a/crocusmux/core/control/membership.py
+++ b/crocusmux/core/control/membership.py
@@ -18,6 +18,7 @@
 from crocusmux import objects
 from crocusmux.core.control import config
 from crocusmux.core.control import holds
+from crocusmux.core.control import membership_messages
 
 STATES: tuple[objects.State, ...] = (
     "joining",
@@ -57,96 +58,6 @@
 INCARNATION_SHIFT = 20
 
 
-class ServiceUpstream(msgspec.Struct, array_like=True, frozen=True):
-    """An upstream with its service."""
-
-    service: str
-    upstream: objects.Upstream
-
-
-class Record(msgspec.Struct, array_like=True, frozen=True):
-    """All upstreams of one upstream host.
-
-    Attributes:
-        host: Name of the upstream host.
-        failure_domain: Its failure domain.
-        agent: ``ip:port`` of the agent's UDP socket.
-        relay: ``ip:port`` of the agent's TCP relay.
-        control: pynng URL of the agent's control socket.
-        incarnation: From ``new_incarnation`` at each start of the agent.
-        upstreams: All upstreams of the host, with their states.
-    """
-
-    host: str
-    failure_domain: str
-    agent: str
-    relay: str
-    control: str
-    incarnation: int
-    upstreams: tuple[ServiceUpstream, ...] = ()
-
-
-class Announcement(msgspec.Struct, array_like=True, frozen=True, tag=20):
-    """An agent's record on its way to a watcher.
-
-    Attributes:
-        record: The record.
-        nonce: Number of the watcher's ``Confirm``; 0 if not asked yet.
-    """
-
-    record: Record
-    nonce: int = 0
-
-
-class Confirm(msgspec.Struct, array_like=True, frozen=True, tag=23):
-    """Asks an agent to repeat its announcement with a number.
-
-    Attributes:
-        host: Host of the record.
-        incarnation: Incarnation of the record.
-        nonce: Number to repeat; not 0.
-        control: Control URL of the watcher.
-    """
-
-    host: str
-    incarnation: int
-    nonce: int
-    control: str
-
-
-class Accepted(msgspec.Struct, array_like=True, frozen=True, tag=21):
-    """A watcher's answer: the record will be written, or is outdated.
-
-    Attributes:
-        host: Host of the record.
-        incarnation: Incarnation of the record.
-        newest: Newest incarnation known of the host.  If higher, the record
-            was refused.
-    """
-
-    host: str
-    incarnation: int
-    newest: int
-
-
-class Suspect(msgspec.Struct, array_like=True, frozen=True, tag=22):
-    """Report that a host does not answer.
-
-    Attributes:
-        host: The suspected host.
-        incarnation: Its incarnation.
-        reporter: Name of the reporting daemon.
-        failure_domain: Failure domain of the reporter.
-        forwarded: True if a watcher passed it on.
-    """
-
-    host: str
-    incarnation: int
-    reporter: str
-    failure_domain: str
-    forwarded: bool = False
-
-
 class Reply(msgspec.Struct, frozen=True, gc=False):
     """Output: send a message to the control URL of a host."""
 
@@ -223,7 +134,7 @@
     return max(drawn, known + 1)
 
 
-def members_of(record: Record) -> dict[str, objects.Member]:
+def members_of(record: membership_messages.Record) -> dict[str, objects.Member]:
     """Returns the member of each service that a record describes."""
     by_service: dict[str, list[objects.Upstream]] = {}
     for item in record.upstreams:
@@ -242,10 +153,12 @@
     }
 
 
-def with_state(record: Record, state: objects.State) -> Record:
+def with_state(
+    record: membership_messages.Record, state: objects.State
+) -> membership_messages.Record:
     """Returns a record with all upstreams in one state."""
     upstreams = tuple(
-        ServiceUpstream(
+        membership_messages.ServiceUpstream(
             item.service, msgspec.structs.replace(item.upstream, state=state)
         )
         for item in record.upstreams
@@ -347,7 +260,7 @@
     ) -> None:
         self.name = name
         self.failure_domain = failure_domain
-        self.record: Record | None = None
+        self.record: membership_messages.Record | None = None
         self.replaced = False
         self.counts = {
             "writes": 0,
@@ -377,7 +290,7 @@
         # Services from which an operator retired this process's upstreams.
         self._retired: set[str] = set()
         # The record without what an operator retired.
-        self._full: Record | None = None
+        self._full: membership_messages.Record | None = None
         self._own_listed: dict[str, objects.Member] = {}
         self._newest: dict[str, tuple[int, float]] = {}
         self._listed: dict[str, tuple[str, ...]] = {}
@@ -395,7 +308,9 @@
 
     # Agent.
 
-    def announce(self, now: float, record: Record) -> list[Any]:
+    def announce(
+        self, now: float, record: membership_messages.Record
+    ) -> list[Any]:
         """Announces this host's record until the memberships show it."""
         if self.replaced:
             return []
@@ -442,10 +357,14 @@
         if now < self._reported.get((host, incarnation), -math.inf):
             return []
         self._reported[(host, incarnation)] = now + REPORT_S
-        report = Suspect(host, incarnation, self.name, self.failure_domain)
+        report = membership_messages.Suspect(
+            host, incarnation, self.name, self.failure_domain
+        )
         return [ToWatchers(report, "near")]
 
-    def on_accepted(self, now: float, message: Accepted) -> list[Any]:
+    def on_accepted(
+        self, now: float, message: membership_messages.Accepted
+    ) -> list[Any]:
         """Takes a watcher's answer to the own announcement."""
         own = self.record
         if own is None or message.host != own.host:
@@ -460,7 +379,9 @@
 
     # Watcher.
 
-    def on_confirm(self, now: float, message: Confirm) -> list[Any]:
+    def on_confirm(
+        self, now: float, message: membership_messages.Confirm
+    ) -> list[Any]:
         """Repeats the own announcement with the watcher's number."""
         own = self.record
         if own is None or self.replaced or message.host != own.host:
@@ -468,11 +389,20 @@
         if message.incarnation != own.incarnation:
             return []
         self._accepted_at = now
-        return [Reply(message.control, Announcement(own, message.nonce))]
+        return [
+            Reply(
+                message.control,
+                membership_messages.Announcement(own, message.nonce),
+            )
+        ]
 
     def on_announcement(
-        self, now: float, message: Announcement, control: str, own: bool = False
-    ) -> Accepted | Confirm:
+        self,
+        now: float,
+        message: membership_messages.Announcement,
+        control: str,
+        own: bool = False,
+    ) -> membership_messages.Accepted | membership_messages.Confirm:
         """Takes an agent's record and returns the answer to it.
 
         Args:
@@ -485,7 +415,9 @@
         newest = self._newest.get(record.host, (0, 0.0))[0]
         if record.incarnation < newest:
             self.counts["outdated"] += 1
-            return Accepted(record.host, record.incarnation, newest)
+            return membership_messages.Accepted(
+                record.host, record.incarnation, newest
+            )
         wishes = members_of(record)
         unlisted = any(
             self._member(service, record.host) is None and not is_gone(member)
@@ -497,7 +429,9 @@
                 nonce = self._rng.getrandbits(62) + 1
                 self._nonces[record.host] = (nonce, now + NONCE_S)
             if message.nonce != nonce:
-                return Confirm(record.host, record.incarnation, nonce, control)
+                return membership_messages.Confirm(
+                    record.host, record.incarnation, nonce, control
+                )
         self._remember(now, record.host, record.incarnation)
         for service in self._outdated(record):
             old = self._member(service, record.host)
@@ -511,10 +445,15 @@
                 continue
             if current is None or merge_member(current, member) != current:
                 self._wish(now, service, member)
-        return Accepted(record.host, record.incarnation, record.incarnation)
+        return membership_messages.Accepted(
+            record.host, record.incarnation, record.incarnation
+        )
 
     def on_suspect(
-        self, now: float, report: Suspect, ranks: dict[str, int]
+        self,
+        now: float,
+        report: membership_messages.Suspect,
+        ranks: dict[str, int],
     ) -> list[Any]:
         """Takes a report; removes the host once two domains reported it.
 
@@ -745,7 +684,7 @@
                 return member
         return None
 
-    def _outdated(self, record: Record) -> list[str]:
+    def _outdated(self, record: membership_messages.Record) -> list[str]:
         """Returns services that list the host but not in this record."""
         named = {item.service for item in record.upstreams}
         found = []
@@ -811,7 +750,7 @@
         names = [upstream.name for upstream in member.upstreams]
         return holds.all_gone(self._store.membership(service), names)
 
-    def _retire(self, own: Record, service: str) -> None:
+    def _retire(self, own: membership_messages.Record, service: str) -> None:
         """Stops announcing the upstreams of one service."""
         self._retired.add(service)
         self.record = _retired(own, service)
@@ -828,7 +767,7 @@
             record, incarnation=self.record.incarnation
         )
 
-    def _rejoin(self, now: float, own: Record) -> list[Any]:
+    def _rejoin(self, now: float, own: membership_messages.Record) -> list[Any]:
         """Joins again after a removal while alive.
 
         The states of one incarnation never move back, so this takes the
@@ -865,9 +804,17 @@
         self._announce_at = now + wait * self._rng.uniform(0.8, 1.2)
         # The next watcher is asked only if this one did not answer.
         heard = self._accepted_at >= self._announce_first
-        out.append(ToWatchers(Announcement(own), "one", 0 if heard else turn))
+        out.append(
+            ToWatchers(
+                membership_messages.Announcement(own),
+                "one",
+                0 if heard else turn,
+            )
+        )
         if not heard and now - self._announce_first >= DIRECT_AFTER_S:
-            self.on_announcement(now, Announcement(own), "", own=True)
+            self.on_announcement(
+                now, membership_messages.Announcement(own), "", own=True
+            )
 
     # Writing.
 
@@ -1071,7 +1018,9 @@
                 del self._reported[entry]
 
 
-def _retired(record: Record, service: str) -> Record:
+def _retired(
+    record: membership_messages.Record, service: str
+) -> membership_messages.Record:
     """Returns a record with the upstreams of one service gone."""
     alone = msgspec.structs.replace(
         record,
--- a/crocusmux/core/control/spread.py
+++ b/crocusmux/core/control/spread.py
@@ -23,6 +23,7 @@
 from crocusmux import errors
 from crocusmux import objects
 from crocusmux.core.control import config
+from crocusmux.core.control import spread_messages
 
 WATCHERS = 2  # for each failure domain
 # Best-ranked daemons kept for each failure domain.  All of them watch while
@@ -70,122 +71,6 @@
 LEAVES = FANOUT * FANOUT
 
 
-class Row(msgspec.Struct, array_like=True, frozen=True, gc=False):
-    """A known daemon.
-
-    Attributes:
-        name: Host name of the daemon.
-        role: ``"balancer"`` or ``"agent"``.
-        failure_domain: Its failure domain.
-        region: Its region.
-        control: pynng URL of its control socket.
-        http: ``ip:port`` of its HTTP server.
-        incarnation: Drawn anew at each start; only rises for a host.
-        udp: ``ip:port`` of its packet socket.
-    """
-
-    name: str
-    role: str
-    failure_domain: str
-    region: str
-    control: str
-    http: str = ""
-    incarnation: int = 0
-    udp: str = ""
-
-
-class Digest(msgspec.Struct, array_like=True, frozen=True, tag=1):
-    """Summary of what the sender knows; opens and keeps a link.
-
-    Attributes:
-        row: The sender.
-        probe: Milliseconds of the sender's clock since its start.
-        root: Hash of the versions of all objects.
-        drains: Hash of all drain notices.
-        beats: Hash of name and incarnation, and seconds since it was last
-            heard, of the best-ranked daemons.
-        rows: A few known daemons with the same age.
-        answer: True if it answers a digest.
-        full: True if the sender takes no link from the receiver.
-    """
-
-    row: Row
-    probe: int
-    root: int
-    drains: int
-    beats: list[tuple[int, int]]
-    rows: list[tuple[Row, int]]
-    answer: bool = False
-    full: bool = False
-
-
-class Nodes(msgspec.Struct, array_like=True, frozen=True, tag=2):
-    """Hashes below the root: of all groups, or of leaves in some groups."""
-
-    groups: list[int]
-    leaves: dict[int, list[int]]
-
-
-class Leaves(msgspec.Struct, array_like=True, frozen=True, tag=3):
-    """Keys and versions in some leaves."""
-
-    leaves: list[int]
-    items: list[tuple[str, int]]
-
-
-class Announce(msgspec.Struct, array_like=True, frozen=True, tag=4):
-    """Keys and versions that the sender can provide."""
-
-    items: list[tuple[str, int]]
-
-
-class Want(msgspec.Struct, array_like=True, frozen=True, tag=5):
-    """Asks for objects."""
-
-    keys: list[str]
-
-
-class Objects(msgspec.Struct, array_like=True, frozen=True, tag=6):
-    """Objects as msgpack, compressed by zlib if ``packed``."""
-
-    data: bytes
-    packed: bool
-
-
-class Contact(msgspec.Struct, array_like=True, frozen=True, tag=7):
-    """Time of the last platform contact that the sender knows.
-
-    The time is relative to the arrival of a probe of the receiver.  Added to
-    the receiver's own time of that probe it never comes out too late, even if
-    the message waited while either process was paused.
-
-    Attributes:
-        echo: Probe of the receiver.
-        delta_ms: Contact time less the arrival time of the probe.
-    """
-
-    echo: int
-    delta_ms: int
-
-
-class Drains(msgspec.Struct, array_like=True, frozen=True, tag=8):
-    """Hosts, each with its incarnation, that take no new work."""
-
-    items: list[tuple[str, int]]
-
-
-class WantRows(msgspec.Struct, array_like=True, frozen=True, tag=9):
-    """Asks for known daemons by hash."""
-
-    hashes: list[int]
-
-
-class Rows(msgspec.Struct, array_like=True, frozen=True, tag=10):
-    """Known daemons, each with the seconds since it was last heard."""
-
-    rows: list[tuple[Row, int]]
-
-
 class Send(msgspec.Struct, frozen=True, gc=False):
     """Output: send a message to the daemon at a control URL."""
 
@@ -218,7 +103,7 @@
         "sent_contact",
     )
 
-    def __init__(self, row: Row, own: bool, now: float) -> None:
+    def __init__(self, row: spread_messages.Row, own: bool, now: float) -> None:
         self.row = row
         self.own = own
         self.heard = now
@@ -235,7 +120,7 @@
 
     __slots__ = ("failed", "heard", "row", "score")
 
-    def __init__(self, row: Row, heard: float) -> None:
+    def __init__(self, row: spread_messages.Row, heard: float) -> None:
         self.row = row
         self.heard = heard
         self.score = watcher_score(row.name, row.failure_domain)
@@ -252,20 +137,20 @@
     return hash_text(name, hash_text(failure_domain))
 
 
-def row_hash(row: Row) -> int:
+def row_hash(row: spread_messages.Row) -> int:
     """Returns the hash by which a daemon's incarnation is named."""
     return hash_text(row.name, row.incarnation)
 
 
-def pack_objects(items: list[objects.Versioned]) -> Objects:
+def pack_objects(items: list[objects.Versioned]) -> spread_messages.Objects:
     """Encodes objects, compressed when that saves bytes."""
     data = msgspec.msgpack.encode([(v.key, v.version, v.body) for v in items])
     if len(data) < COMPRESS_BYTES:
-        return Objects(data, False)
-    return Objects(zlib.compress(data, 1), True)
+        return spread_messages.Objects(data, False)
+    return spread_messages.Objects(zlib.compress(data, 1), True)
 
 
-def unpack_objects(message: Objects) -> list[objects.Versioned]:
+def unpack_objects(message: spread_messages.Objects) -> list[objects.Versioned]:
     """Decodes objects.
 
     Raises:
@@ -327,7 +212,7 @@
 
     def __init__(
         self,
-        row: Row,
+        row: spread_messages.Row,
         store: config.ConfigStore,
         peers: Iterable[str],
         rng: random.Random,
@@ -465,7 +350,7 @@
             errors.WireError: Its content is malformed.
         """
         out: list[Any] = []
-        if isinstance(message, Digest):
+        if isinstance(message, spread_messages.Digest):
             self._on_digest(now, message, out)
             return out
         link = self._links.get(sender)
@@ -475,26 +360,26 @@
         url = link.row.control if link else known.row.control  # type: ignore
         if link is not None:
             link.heard = now
-        if isinstance(message, Announce):
+        if isinstance(message, spread_messages.Announce):
             self._on_announce(now, url, message.items, out)
-        elif isinstance(message, Want):
+        elif isinstance(message, spread_messages.Want):
             self._on_want(url, message, out)
-        elif isinstance(message, Objects):
+        elif isinstance(message, spread_messages.Objects):
             self._on_objects(now, sender, url, message, out)
-        elif isinstance(message, Contact):
+        elif isinstance(message, spread_messages.Contact):
             self._on_contact(now, link, message)
-        elif isinstance(message, Nodes):
+        elif isinstance(message, spread_messages.Nodes):
             self._on_nodes(url, message, out)
-        elif isinstance(message, Leaves):
+        elif isinstance(message, spread_messages.Leaves):
             self._on_leaves(now, url, message, out)
-        elif isinstance(message, Drains):
+        elif isinstance(message, spread_messages.Drains):
             for host, incarnation in message.items:
                 out += self.drain(now, host, incarnation)
-        elif isinstance(message, WantRows):
+        elif isinstance(message, spread_messages.WantRows):
             found = [self._by_hash.get(h) for h in message.hashes[:MAX_ROWS]]
             rows = [(k.row, _age(now, k.heard)) for k in found if k]
-            out.append(Send(url, Rows(rows)))
-        elif isinstance(message, Rows):
+            out.append(Send(url, spread_messages.Rows(rows)))
+        elif isinstance(message, spread_messages.Rows):
             for row, age in message.rows[:MAX_ROWS]:
                 self._learn(now, row, now - max(age, 0))
         return out
@@ -505,7 +390,7 @@
         """Returns seconds since the last platform contact known."""
         return now - self.contact
 
-    def daemons(self, now: float) -> list[tuple[Row, float]]:
+    def daemons(self, now: float) -> list[tuple[spread_messages.Row, float]]:
         """Returns the known daemons with seconds since last heard."""
         found = [(self.row, 0.0)]
         found += [
@@ -515,12 +400,14 @@
         ]
         return sorted(found, key=lambda item: item[0].name)
 
-    def watchers(self, now: float, failure_domain: str) -> list[Row]:
+    def watchers(
+        self, now: float, failure_domain: str
+    ) -> list[spread_messages.Row]:
         """Returns the watchers of a failure domain as far as known."""
         ranked = self._ranked(now, failure_domain)
         return [k.row for k in ranked[: self._places(now)]]
 
-    def all_watchers(self, now: float) -> list[Row]:
+    def all_watchers(self, now: float) -> list[spread_messages.Row]:
         """Returns the known watchers, those of the own domain first."""
         own = self.row.failure_domain
         domains = {k.row.failure_domain for k in self._known.values()}
@@ -558,7 +445,9 @@
 
     # Known daemons.
 
-    def _learn(self, now: float, row: Row, heard: float) -> Known | None:
+    def _learn(
+        self, now: float, row: spread_messages.Row, heard: float
+    ) -> Known | None:
         if row.name == self.row.name:
             return None
         known = self._known.get(row.name)
@@ -684,10 +573,12 @@
         digest = self._digest(now, answer=False)
         return [Send(url, digest) for url in urls]
 
-    def _digest(self, now: float, answer: bool, full: bool = False) -> Digest:
+    def _digest(
+        self, now: float, answer: bool, full: bool = False
+    ) -> spread_messages.Digest:
         alive = [k for k in self._known.values() if now - k.heard <= ALIVE_S]
         sample = self._rng.sample(alive, min(SAMPLE_ROWS, len(alive)))
-        return Digest(
+        return spread_messages.Digest(
             row=self.row,
             probe=int((now - self._start) * 1000),
             root=self._versions.root,
@@ -704,7 +595,9 @@
             total ^= hash_text(host, incarnation)
         return total
 
-    def _on_digest(self, now: float, message: Digest, out: list[Any]) -> None:
+    def _on_digest(
+        self, now: float, message: spread_messages.Digest, out: list[Any]
+    ) -> None:
         row = message.row
         if row.name == self.row.name:
             return
@@ -722,7 +615,7 @@
             else:
                 found.heard = max(found.heard, now - max(age, 0))
         if unknown:
-            out.append(Send(row.control, WantRows(unknown)))
+            out.append(Send(row.control, spread_messages.WantRows(unknown)))
         for other, age in message.rows[:SAMPLE_ROWS]:
             self._learn(now, other, now - max(age, 0))
         if message.answer:
@@ -736,14 +629,19 @@
             self.synced = self.synced or message.root != 0
         elif message.answer:
             out.append(
-                Send(row.control, Nodes(list(self._versions.groups), {}))
+                Send(
+                    row.control,
+                    spread_messages.Nodes(list(self._versions.groups), {}),
+                )
             )
         if message.drains != self._drains_hash() and self.drains:
             items = list(self.drains.items())
-            out.append(Send(row.control, Drains(items)))
+            out.append(Send(row.control, spread_messages.Drains(items)))
         self._schedule_flush(now)
 
-    def _take_link(self, now: float, message: Digest) -> Link | None:
+    def _take_link(
+        self, now: float, message: spread_messages.Digest
+    ) -> Link | None:
         """Returns the link to a digest's sender; None if there is none."""
         row = message.row
         link = self._links.get(row.name)
@@ -848,7 +746,11 @@
             self._open(now, known, own, free)
 
     def _open(
-        self, now: float, known: Known, own: list[Row], free: list[Known]
+        self,
+        now: float,
+        known: Known,
+        own: list[spread_messages.Row],
+        free: list[Known],
     ) -> None:
         free.remove(known)
         own.append(known.row)
@@ -894,19 +796,21 @@
             ]
             for first in range(0, len(items), ANNOUNCE_KEYS):
                 chunk = items[first : first + ANNOUNCE_KEYS]
-                out.append(Send(url, Announce(chunk)))
+                out.append(Send(url, spread_messages.Announce(chunk)))
             if drains:
-                out.append(Send(url, Drains(drains)))
+                out.append(Send(url, spread_messages.Drains(drains)))
             if (
                 link.probe >= 0
                 and self.contact - link.sent_contact >= CONTACT_STEP_S
             ):
                 link.sent_contact = self.contact
                 delta = math.floor((self.contact - link.probe_at) * 1000)
-                out.append(Send(url, Contact(link.probe, delta)))
+                out.append(
+                    Send(url, spread_messages.Contact(link.probe, delta))
+                )
 
     def _on_contact(
-        self, now: float, link: Link | None, message: Contact
+        self, now: float, link: Link | None, message: spread_messages.Contact
     ) -> None:
         asked = self._start + message.echo / 1000
         contact = asked + message.delta_ms / 1000
@@ -953,7 +857,7 @@
                 asked[key] = now
                 keys.append(key)
         if keys:
-            out.append(Send(url, Want(keys)))
+            out.append(Send(url, spread_messages.Want(keys)))
         if not queue:
             del self._queues[url]
         if not asked:
@@ -988,7 +892,9 @@
         self._queues.setdefault(wanted[1].pop(0), deque()).append(key)
         return True
 
-    def _on_want(self, url: str, message: Want, out: list[Any]) -> None:
+    def _on_want(
+        self, url: str, message: spread_messages.Want, out: list[Any]
+    ) -> None:
         chunk: list[objects.Versioned] = []
         size = 0
         for key in message.keys[:WANT_KEYS]:
@@ -1008,7 +914,7 @@
         now: float,
         sender: str,
         url: str,
-        message: Objects,
+        message: spread_messages.Objects,
         out: list[Any],
     ) -> None:
         items = unpack_objects(message)
@@ -1030,7 +936,9 @@
 
     # Anti-entropy.
 
-    def _on_nodes(self, url: str, message: Nodes, out: list[Any]) -> None:
+    def _on_nodes(
+        self, url: str, message: spread_messages.Nodes, out: list[Any]
+    ) -> None:
         own = self._versions
         if message.leaves:
             differ = [
@@ -1046,10 +954,10 @@
                 leaves.append(leaf)
                 items += own.keys[leaf].items()
                 if len(items) >= ANNOUNCE_KEYS:
-                    out.append(Send(url, Leaves(leaves, items)))
+                    out.append(Send(url, spread_messages.Leaves(leaves, items)))
                     leaves, items = [], []
             if leaves:
-                out.append(Send(url, Leaves(leaves, items)))
+                out.append(Send(url, spread_messages.Leaves(leaves, items)))
             return
         groups = {
             group: own.leaves[group * FANOUT : (group + 1) * FANOUT]
@@ -1057,10 +965,14 @@
             if own.groups[group] != value
         }
         if groups:
-            out.append(Send(url, Nodes([], groups)))
+            out.append(Send(url, spread_messages.Nodes([], groups)))
 
     def _on_leaves(
-        self, now: float, url: str, message: Leaves, out: list[Any]
+        self,
+        now: float,
+        url: str,
+        message: spread_messages.Leaves,
+        out: list[Any],
     ) -> None:
         theirs = dict(message.items)
         newer = [
@@ -1072,7 +984,7 @@
         ]
         for first in range(0, len(newer), ANNOUNCE_KEYS):
             chunk = newer[first : first + ANNOUNCE_KEYS]
-            out.append(Send(url, Announce(chunk)))
+            out.append(Send(url, spread_messages.Announce(chunk)))
         self._on_announce(now, url, message.items, out)
 
 
--- a/crocusmux/daemons/control.py
+++ b/crocusmux/daemons/control.py
@@ -26,7 +26,9 @@
 from crocusmux.core.control import config
 from crocusmux.core.control import controlplane
 from crocusmux.core.control import membership
+from crocusmux.core.control import membership_messages
 from crocusmux.core.control import spread
+from crocusmux.core.control import spread_messages
 from crocusmux.objectapi import access
 from crocusmux.objectapi import client
 
@@ -178,7 +180,7 @@
             ) from exc
         # With port 0 the listener has chosen one.
         url = bound.url
-        row = spread.Row(
+        row = spread_messages.Row(
             name=self._cfg.host,
             role=self._cfg.role,
             failure_domain=self._cfg.failure_domain,
@@ -221,7 +223,7 @@
         """
         self._callbacks.append(callback)
 
-    def announce(self, record: membership.Record) -> None:
+    def announce(self, record: membership_messages.Record) -> None:
         """Announces this host's upstreams until the memberships show them."""
         self._do(self.core.announce(self._loop.time(), record))
 
@@ -242,7 +244,7 @@
         """Returns seconds since the last platform contact of a watcher."""
         return self.core.contact_age(self._loop.time())
 
-    def daemons(self) -> list[tuple[spread.Row, float]]:
+    def daemons(self) -> list[tuple[spread_messages.Row, float]]:
         """Returns the known daemons with seconds since last heard."""
         return self.core.spread.daemons(self._loop.time())
 
--- a/crocusmux/daemons/node.py
+++ b/crocusmux/daemons/node.py
@@ -13,7 +13,7 @@
 from crocusmux import settings
 from crocusmux import telemetry
 from crocusmux.core.control import config
-from crocusmux.core.control import membership
+from crocusmux.core.control import membership_messages
 from crocusmux.daemons import agent
 from crocusmux.daemons import balancer
 from crocusmux.daemons import control
@@ -249,9 +249,9 @@
         await self.agent.start()
         await self._start_shared()
 
-    def record(self) -> membership.Record:
+    def record(self) -> membership_messages.Record:
         """Returns the announcement of this host's upstreams."""
-        return membership.Record(
+        return membership_messages.Record(
             host=self.cfg.host,
             failure_domain=self.cfg.failure_domain,
             agent=self.cfg.udp,
@@ -259,7 +259,7 @@
             control=self.cfg.control,
             incarnation=self.control.incarnation,
             upstreams=tuple(
-                membership.ServiceUpstream(
+                membership_messages.ServiceUpstream(
                     item.service,
                     objects.Upstream(
                         name=item.name,
--- a/features/steps/control_membership_steps.py
+++ b/features/steps/control_membership_steps.py
@@ -10,6 +10,7 @@
 from crocusmux.core.control import controlplane
 from crocusmux.core.control import holds
 from crocusmux.core.control import membership
+from crocusmux.core.control import membership_messages
 
 SEED = 23
 KEY = "memberships/s"
@@ -20,14 +21,14 @@
     upstream = objects.Upstream(
         name=f"{row.name}-u", address="127.0.0.1:9000", state=state
     )
-    return membership.Record(
+    return membership_messages.Record(
         host=row.name,
         failure_domain=row.failure_domain,
         agent="127.0.0.1:7001",
         relay="127.0.0.1:7002",
         control=row.control,
         incarnation=incarnation or row.incarnation,
-        upstreams=(membership.ServiceUpstream(service, upstream),),
+        upstreams=(membership_messages.ServiceUpstream(service, upstream),),
     )
 
 
@@ -152,7 +153,7 @@
 
 @when("its predecessor announces itself once more")
 def announce_old(context):
-    message = membership.Announcement(record(context.old, "ready"))
+    message = membership_messages.Announcement(record(context.old, "ready"))
     to_watchers(context, message)
 
 
@@ -179,7 +180,9 @@
 @when('an announcement of host "{host}" is held back')
 def hold_back(context, host):
     node = context.agents[host]
-    context.held = membership.Announcement(record(node, "ready"), nonce=1)
+    context.held = membership_messages.Announcement(
+        record(node, "ready"), nonce=1
+    )
 
 
 @when('host "{host}" leaves and {seconds:d} seconds pass')
@@ -207,7 +210,7 @@
             lambda node=node, wanted=wanted: [
                 node.plane.members.on_announcement(
                     context.run.now,
-                    membership.Announcement(wanted),
+                    membership_messages.Announcement(wanted),
                     "",
                     own=True,
                 )
--- a/features/steps/control_sockets_steps.py
+++ b/features/steps/control_sockets_steps.py
@@ -13,8 +13,8 @@
 from crocusmux import settings
 from crocusmux import wire
 from crocusmux.core.control import config
-from crocusmux.core.control import membership
-from crocusmux.core.control import spread
+from crocusmux.core.control import membership_messages
+from crocusmux.core.control import spread_messages
 from crocusmux.daemons import control
 from crocusmux.objectapi import access
 from crocusmux.objectapi import standin
@@ -136,12 +136,12 @@
     if bad == "of an unknown kind":
         return tagged(msgspec.msgpack.encode(["x", [99]]))
     if bad == "of another version":
-        good = msgspec.msgpack.encode(["x", spread.WantRows([])])
+        good = msgspec.msgpack.encode(["x", spread_messages.WantRows([])])
         return tagged(good, version=b"\x02")
     if bad == "a compression bomb":
         large = bytes(8 * objects.MAX_OBJECT_BYTES)
         data = msgspec.msgpack.encode([("k", 1, large)])
-        message = spread.Objects(zlib.compress(data), True)
+        message = spread_messages.Objects(zlib.compress(data), True)
         return tagged(msgspec.msgpack.encode(["peer", message]))
     assert bad == "larger than the limit"
     return tagged(bytes(control.MAX_MESSAGE_BYTES))
@@ -150,8 +150,10 @@
 @when("it receives a message that is {bad}")
 def send_bad(context, bad):
     node = context.node
-    peer = spread.Row("peer", "agent", "fd1", "r0", "tcp://127.0.0.1:9")
-    greeting = spread.Digest(peer, 0, 0, 0, [], [], True)
+    peer = spread_messages.Row(
+        "peer", "agent", "fd1", "r0", "tcp://127.0.0.1:9"
+    )
+    greeting = spread_messages.Digest(peer, 0, 0, 0, [], [], True)
     node.core.spread.on_message(context.loop.time(), "peer", greeting)
     context.root = node.core.spread.root()
     sock = pynng.Push0(send_buffer_size=4)
@@ -240,14 +242,14 @@
     advance(context, lambda: len(agent.core.spread.links()) >= 4, 30.0)
     upstream = objects.Upstream(name="u", address="127.0.0.1:9")
     agent.announce(
-        membership.Record(
+        membership_messages.Record(
             host="a0",
             failure_domain="fd0",
             agent="127.0.0.1:1",
             relay="127.0.0.1:2",
             control=agent.core.spread.row.control,
             incarnation=agent.incarnation,
-            upstreams=(membership.ServiceUpstream("s", upstream),),
+            upstreams=(membership_messages.ServiceUpstream("s", upstream),),
         )
     )
 
@@ -280,7 +282,7 @@
 def send_to_many(context, count):
     for index in range(count):
         url = f"tcp://127.0.0.1:{20000 + index}"
-        context.node._send(url, spread.WantRows([]))
+        context.node._send(url, spread_messages.WantRows([]))
 
 
 @then("it holds at most {limit:d} connections")
--- a/features/steps/control_spread_steps.py
+++ b/features/steps/control_spread_steps.py
@@ -9,6 +9,7 @@
 from crocusmux import objects
 from crocusmux.core.control import config
 from crocusmux.core.control import spread
+from crocusmux.core.control import spread_messages
 
 SEED = 11
 
@@ -19,7 +20,7 @@
 
 
 def make_core(name):
-    row = spread.Row(name, "balancer", "fd0", "r0", f"tcp://{name}:1")
+    row = spread_messages.Row(name, "balancer", "fd0", "r0", f"tcp://{name}:1")
     core = spread.Spread(row, config.ConfigStore(), [], random.Random(SEED))
     core.start(0.0)
     return core
@@ -45,7 +46,7 @@
     first.on_message(0.0, "d1", second._digest(0.0, False))
     stale = in_force(name, version)
     assert first.on_message(0.0, "d1", spread.pack_objects([stale])) == []
-    announce = spread.Announce([(stale.key, version)])
+    announce = spread_messages.Announce([(stale.key, version)])
     assert first.on_message(0.0, "d1", announce) == []
 
 
@@ -168,7 +169,7 @@
     second.platform_answered(2.0, 2.0)
     out = second.on_timer(2.1)
     sent = [item.message for item in out if isinstance(item, spread.Send)]
-    waiting = [m for m in sent if isinstance(m, spread.Contact)]
+    waiting = [m for m in sent if isinstance(m, spread_messages.Contact)]
     assert len(waiting) == 1, out
     context.now = 2.1 + seconds
     first.on_message(context.now, "d1", waiting[0])
