--- /dev/null
+++ b/bench/forward.py
@@ -0,0 +1,142 @@
+"""Processor time of the forwarding balancer, with and without its log.
+
+    python -m bench.forward [--quick] [--json]
+
+Each figure is a mean over one run without sockets: decode, decide, encode.
+The log's lines are formatted and written to the null device.
+"""
+
+import argparse
+import json
+import logging
+import os
+import random
+import sys
+import time
+
+from crocusmux import logs
+from crocusmux import metrics
+from crocusmux.core.forward import balancer
+from crocusmux.core.forward import outputs
+from crocusmux.core.forward import reports
+from crocusmux.core.forward import routes
+from crocusmux.core.forward import upstreams
+from crocusmux.platform import packets
+
+AGENTS = 12
+FLOWS = 20_000
+QUICK_FLOWS = 2_000
+SEGMENTS_A_FLOW = 5
+SYN, ACK = 2, 64
+# A new flow every 5 ms: 200 a second, as the log's bound allows.
+NEW_FLOW_S = 0.005
+ROUTE = ("198.18.0.1", 443)
+
+
+def packet(number: int, flags: int, ack: int) -> bytes:
+    """Returns a caller's packet of flow ``number``."""
+    caller = (0x64400000 + number // 30_000).to_bytes(4, "big")
+    port = 1024 + number % 30_000
+    route = routes.route_bytes(ROUTE)
+    return packets.HEAD.pack(
+        1, ack, 0, 443, route[:4], caller, port, 0, 0, flags, 0
+    )
+
+
+def make_core() -> balancer.BalancerCore:
+    """Returns a balancer whose agents all take flows."""
+    core = balancer.BalancerCore(
+        "edge-1", "abay", ("10.0.0.1", 7720), "", random.Random(1)
+    )
+    route = routes.Route("r", ROUTE, (("rounds", 1),), 2.0, 0.2, 1, False)
+    core.configure(routes.Configuration(1, (route,)))
+    for number in range(AGENTS):
+        ip = f"10.0.1.{number}"
+        record = upstreams.Record(
+            f"side-{number}", "rounds", "abay", (ip, 8172), (ip, 7720)
+        )
+        core.add_agent(0.0, record)
+    return core
+
+
+def report_all(core: balancer.BalancerCore, now: float, sequence: int) -> None:
+    """Lets all agents report, so that none is silent."""
+    for number in range(AGENTS):
+        report = reports.LoadReport(
+            f"side-{number}",
+            "rounds",
+            1,
+            sequence,
+            True,
+            2,
+            0.5,
+            10,
+            30.0,
+            0.25,
+            1,
+            "",
+        )
+        core.on_message(now, report)
+
+
+def run(count: int, logged: bool) -> dict[str, float]:
+    """Returns microseconds for a new flow and for a later segment."""
+    core, now = make_core(), 0.0
+    held = metrics.Metrics() if logged else None
+    log = logs.make_event_log(lambda: now) if logged else None
+
+    def do(todo: list[outputs.Output]) -> None:
+        for output in todo:
+            if isinstance(output, outputs.ToAgent):
+                packets.encode(output.segment, output.service_tag, output.mark)
+            elif held is None or log is None:
+                continue
+            elif isinstance(output, outputs.Event):
+                held.count(output.what)
+                log(output)
+            elif isinstance(output, outputs.Timing):
+                held.observe(output)
+
+    spent = {SYN: 0.0, ACK: 0.0}
+    for number in range(count):
+        now = number * NEW_FLOW_S
+        if number % 20 == 0:
+            report_all(core, now, number + 1)
+        for flags in (SYN, *[ACK] * SEGMENTS_A_FLOW):
+            data = packet(number, flags, 5001)
+            begin = time.process_time()
+            do(core.on_segment(now, packets.decode_from_caller(data)))
+            spent[flags] += time.process_time() - begin
+    return {
+        "new_flow_us": spent[SYN] / count * 1e6,
+        "segment_us": spent[ACK] / count / SEGMENTS_A_FLOW * 1e6,
+    }
+
+
+def main() -> int:
+    """Prints both variants and their ratio; returns the exit status."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--quick", action="store_true")
+    parser.add_argument("--json", action="store_true")
+    args = parser.parse_args()
+    count = QUICK_FLOWS if args.quick else FLOWS
+    handler = logs.BufferedHandler(os.open(os.devnull, os.O_WRONLY))
+    handler.setFormatter(logging.Formatter(logs.FORMAT))
+    logging.getLogger().addHandler(handler)
+    logging.getLogger().setLevel(logging.INFO)
+    run(QUICK_FLOWS, True)
+    plain, logged = run(count, False), run(count, True)
+    found = {f"plain_{name}": value for name, value in plain.items()}
+    found |= {f"logged_{name}": value for name, value in logged.items()}
+    for name, value in plain.items():
+        found[f"ratio_{name.removesuffix('_us')}"] = logged[name] / value
+    if args.json:
+        print(json.dumps(found))
+    else:
+        for name, value in found.items():
+            print(f"{name:24}{value:10.2f}")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
