--- a/crocusmux/core/forward/balancer.py
+++ b/crocusmux/core/forward/balancer.py
@@ -279,20 +279,17 @@
     def _ask(
         self, now: float, seg: segments.Segment, flow: flows.Flow
     ) -> Outputs:
-        """Sends a segment to agents that may hold its flow."""
-        if flow.lookup is None:
-            flow.lookup = lookup.Lookup(now, seg)
-        search = flow.lookup
-        search.segment = seg
-        search.rounds = 0
+        """Looks for the holder of a flow; its segments wait meanwhile."""
+        if flow.lookup is not None:
+            flow.lookup.keep(now, seg)
+            self._lookups[seg.key] = flow
+            return []
+        flow.lookup = lookup.Lookup(now, seg)
         self._lookups[seg.key] = flow
-        if search.waits(now):
-            known = map(self.directory.get, search.current())
-            return [_question(seg, one) for one in known if one]
-        return self._ask_round(now, search)
+        return self._ask_round(now, flow.lookup)
 
     def _ask_round(self, now: float, search: lookup.Lookup) -> Outputs:
-        seg = search.segment
+        seg = search.question
         route = self.routes.find(seg.key)
         if route is None:
             return [outputs.Reset(seg.key, seg.ack)]
@@ -312,9 +309,9 @@
         sent: Outputs = []
         for key, flow in list(self._lookups.items()):
             search = flow.lookup
-            if search is None or search.rounds >= lookup.MAX_ROUNDS:
+            if search is None or search.idle(now):
                 del self._lookups[key]
-            elif now - search.asked_at >= lookup.ROUND_S:
+            elif search.due(now):
                 sent += self._ask_round(now, search)
         return sent
 
@@ -385,12 +382,16 @@
         flow = self.flows.get(message.key)
         if flow is None:
             return []
+        kept = flow.lookup.kept if flow.lookup else []
         flow.holder = message.host
         flow.held_at = now
         flow.last = flow.opening = flow.lookup = None
         self._lookups.pop(message.key, None)
-        detail = f"agent={message.host}"
-        return [outputs.Event("held", message.key, detail)]
+        detail = f"agent={message.host} kept={len(kept)}"
+        sent: Outputs = [outputs.Event("held", message.key, detail)]
+        for seg in kept:
+            sent += self._to_holder(now, seg, flow)
+        return sent
 
     def _on_not_held(self, now: float, message: reports.NotHeld) -> Outputs:
         flow = self.flows.get(message.key)
@@ -421,7 +422,8 @@
             return []
         flow.lookup = lookup.Lookup(now, flow.last)
         flow.lookup.deny(message.host)
-        return self._ask(now, flow.last, flow)
+        self._lookups[message.key] = flow
+        return self._ask_round(now, flow.lookup)
 
     def _lost(self, key: bytes, reason: str) -> Outputs:
         """Ends a flow that its holder has lost, or that nobody has."""
--- a/crocusmux/core/forward/lookup.py
+++ b/crocusmux/core/forward/lookup.py
@@ -8,45 +8,69 @@
 # Time to wait for answers, and between two searches, seconds: longer than the
 # store's watch takes to show an agent that has just started.
 ROUND_S = 0.06
-# Rounds without a new segment of the caller, which repeats it after 0.2 s.
-MAX_ROUNDS = 12
+# Each round without any answer waits twice as long as the one before, up to
+# this time, seconds: many searches at once fill a link of 5 Mbit/s.
+ROUND_MAX_S = 1.0
+# A search is given up after this time without a segment of the caller, which
+# repeats it after 1.6 s at most.
+IDLE_S = 2.0
 # Searches in which all agents must deny a flow before it counts as lost.
 SEARCHES_TO_LOSE = 2
+# Segments kept until the holder is found: what an end has in flight.
+MAX_KEPT = 16
 
 
 class Lookup:
     """The search for one flow.
 
-    A search asks the agents of the service in the order of rendezvous hashing
-    until one claims the flow.  Once all have denied it, another search begins,
-    as an agent may have been missed.
+    A search asks the agents of the service until one claims the flow, those
+    that report first, in the order of rendezvous hashing.  Once all have
+    denied it, another search begins, as an agent may have been missed.
 
     Attributes:
-        segment: The caller's newest segment, which goes with each question.
+        question: The caller's segment that goes with each question.
+        kept: Segments that go to the holder once it is found.
         asked_at: Time of the last question, seconds.
+        seen_at: Time of the caller's last segment, seconds.
         searches: Searches that all agents have denied.
-        rounds: Rounds of questions since the caller's last segment.
     """
 
     __slots__ = (
         "_asked",
-        "_current",
         "_denied",
+        "_wait_s",
         "asked_at",
-        "rounds",
+        "kept",
+        "question",
         "searches",
-        "segment",
+        "seen_at",
     )
 
     def __init__(self, now: float, segment: segments.Segment) -> None:
-        self.segment = segment
-        self.asked_at = now
+        self.question = segment
+        self.kept: list[segments.Segment] = []
+        self.asked_at = float("-inf")
+        self.seen_at = now
         self.searches = 0
-        self.rounds = 0
+        self._wait_s = ROUND_S
         self._asked: set[str] = set()
-        self._current: list[str] = []
         self._denied: set[str] = set()
 
+    def keep(self, now: float, segment: segments.Segment) -> None:
+        """Keeps a further segment of the caller for the holder."""
+        self.seen_at = now
+        self.kept.append(segment)
+        if len(self.kept) > MAX_KEPT:
+            del self.kept[0]
+
+    def due(self, now: float) -> bool:
+        """Returns True if the next round may be asked."""
+        return now - self.asked_at >= self._wait_s
+
+    def idle(self, now: float) -> bool:
+        """Returns True if the caller no longer repeats its segment."""
+        return now - self.seen_at > IDLE_S
+
     def next_round(
         self, now: float, agents: list[upstreams.Upstream]
     ) -> list[upstreams.Upstream]:
@@ -56,27 +80,21 @@
             now: Time in seconds.
             agents: All agents that may hold the flow.
         """
+        if self.asked_at > float("-inf"):
+            self._wait_s = min(2 * self._wait_s, ROUND_MAX_S)
         self.asked_at = now
-        self.rounds += 1
         agents = [one for one in agents if not one.lost(now)]
         fresh = [x for x in agents if x.record.host not in self._asked]
         if not fresh:
             # All were asked; those without an answer are asked again.
             fresh = [x for x in agents if x.record.host not in self._denied]
         if len(fresh) > ASKED_AT_ONCE:
-            fresh = upstreams.ranked(self.segment.key, fresh)[:ASKED_AT_ONCE]
-        self._current = [one.record.host for one in fresh]
-        self._asked.update(self._current)
+            fresh = upstreams.ranked(self.question.key, fresh)
+            fresh.sort(key=lambda one: one.silent(now))
+            fresh = fresh[:ASKED_AT_ONCE]
+        self._asked.update(one.record.host for one in fresh)
         return fresh
 
-    def waits(self, now: float) -> bool:
-        """Returns True while answers of the current round may arrive."""
-        return bool(self.current()) and now - self.asked_at < ROUND_S
-
-    def current(self) -> list[str]:
-        """Returns the hosts of the current round that have not denied."""
-        return [host for host in self._current if host not in self._denied]
-
     def over(self) -> bool:
         """Returns True after enough searches that all agents denied."""
         return self.searches >= SEARCHES_TO_LOSE
@@ -85,6 +103,7 @@
         """Takes a denial; returns True if all that were asked have denied."""
         self._asked.add(host)
         self._denied.add(host)
+        self._wait_s = ROUND_S
         return self._asked <= self._denied
 
     def denied_by_all(
@@ -103,6 +122,5 @@
                 return False
         self.searches += 1
         self._asked.clear()
-        self._current.clear()
         self._denied.clear()
         return True
--- a/crocusmux/core/forward/upstreams.py
+++ b/crocusmux/core/forward/upstreams.py
@@ -76,6 +76,13 @@
         """Returns the time since its last report, seconds."""
         return now - self.reported_at
 
+    def silent(self, now: float) -> bool:
+        """Returns True if it has missed several reports."""
+        report = self.report
+        if report is None:
+            return True
+        return self.silent_s(now) >= SILENT_REPORTS * report.interval_s
+
     def lost(self, now: float) -> bool:
         """Returns True if it has been silent for so long that it is dead."""
         interval = self.report.interval_s if self.report else 0.0
@@ -87,7 +94,7 @@
         return (
             self.report is not None
             and self.report.accepting
-            and self.silent_s(now) < SILENT_REPORTS * self.report.interval_s
+            and not self.silent(now)
             and not self.avoided
             and self.full_until <= now
         )
--- a/features/forward_balancer.feature
+++ b/features/forward_balancer.feature
@@ -278,3 +278,26 @@
     When a segment of an unknown flow to rounds arrives
     And 0 agents report and deny it while the caller repeats it for 6 s
     Then the caller gets no reset
+
+  # Guards against searches that fill a link of 5 Mbit/s: a flow's segments went
+  # to 8 agents each (grown deployment, after a loss of power).
+  Scenario: The segments of a flow that is looked for wait for its holder
+    Given a balancer with 30 agents of rounds
+    When a segment of an unknown flow to rounds arrives
+    And the caller sends 5 segments
+    Then 0 agents are asked for it
+    When agent h3 answers that it holds the flow
+    Then agent h3 gets 5 segments of it
+
+  Scenario: Questions that nobody answers get rarer
+    Given a balancer with 30 agents of rounds
+    When a segment of an unknown flow to rounds arrives
+    And 0 agents report and deny it while the caller repeats it for 3 s
+    Then agents were asked at most 80 times
+
+  # Guards against a search that waits for hosts that are gone.
+  Scenario: Agents that report are asked first
+    Given a balancer with 30 agents of rounds
+    When 22 of its agents stay silent for 1.5 s while the others report
+    And a segment of an unknown flow to rounds arrives
+    Then the 8 agents that report are asked for it
--- a/features/steps/forward_balancer_steps.py
+++ b/features/steps/forward_balancer_steps.py
@@ -227,7 +227,36 @@
 
 @when("agent {host} answers that it holds the flow")
 def answer_held(context, host):
-    context.core.on_message(context.now, reports.Held(host, context.key))
+    message = reports.Held(host, context.key)
+    context.outs = context.core.on_message(context.now, message)
+
+
+@when(
+    "{count:d} of its agents stay silent for {seconds:g} s while the others"
+    " report"
+)
+def many_silent(context, count, seconds):
+    context.now += seconds
+    context.reporting = context.hosts[count:]
+    report_all(context, context.reporting)
+
+
+@then("agent {host} gets {count:d} segments of it")
+def holder_gets(context, host, count):
+    sent = [o for o in context.outs if isinstance(o, outputs.ToAgent)]
+    assert [host_at(context, o.to) for o in sent] == [host] * count
+    assert all(o.mark == segments.MARK_DIRECT for o in sent)
+
+
+@then("agents were asked at most {count:d} times")
+def asked_at_most(context, count):
+    assert 30 <= context.questions <= count, context.questions
+
+
+@then("the {count:d} agents that report are asked for it")
+def reporting_asked(context, count):
+    hosts = {host_at(context, o.to) for o in asked(context)}
+    assert hosts == set(context.reporting) and len(hosts) == count
 
 
 @when("agents {hosts} answer that they do not hold the flow")
@@ -354,26 +383,27 @@
 )
 def report_and_deny(context, count, seconds):
     live = context.hosts[:count]
-    outs, sent = [], list(context.outs)
+    core = context.core
+    context.questions = 0
+    todo, context.outs = list(context.outs), []
     for turn in range(seconds * 20):
         context.now += 0.05
         if turn % 4 == 0:
             report_all(context, live)
             seg = segment(context.key, ack=77_000, length=100)
-            sent += context.core.on_segment(context.now, seg)
-        for one in [o for o in sent if isinstance(o, outputs.ToAgent)]:
-            host = host_at(context, one.to)
-            if host in live:
-                message = reports.NotHeld(host, context.key)
-                outs += context.core.on_message(context.now, message)
-        sent = [o for o in outs if isinstance(o, outputs.ToAgent)]
-        context.outs = outs
+            todo += core.on_segment(context.now, seg)
+        outs = core.on_timer(context.now)
+        for one in todo:
+            if isinstance(one, outputs.ToAgent):
+                context.questions += 1
+                host = host_at(context, one.to)
+                if host in live:
+                    message = reports.NotHeld(host, context.key)
+                    outs += core.on_message(context.now, message)
+        context.outs += outs
         if resets(context):
             return
-        outs = [] if not resets(context) else outs
-        outs += context.core.on_timer(context.now)
-        sent += [o for o in outs if isinstance(o, outputs.ToAgent)]
-    context.outs = outs
+        todo = outs
 
 
 @when("another balancer searches for that flow")
