--- a/crocusmux/core/forward/agent.py
+++ b/crocusmux/core/forward/agent.py
@@ -201,6 +201,8 @@
         """Returns True if the upstream surely does not hold a flow."""
         if seg.mark == segments.MARK_ASKING and self._knows_all:
             return True
+        if self.life.never_heard(now):
+            return True
         returned_at = self._absent.get(seg.key)
         return returned_at is not None and now - returned_at < ABSENT_S
 
@@ -254,6 +256,9 @@
         flow = self._flows.get(seg.key)
         if seg.returned:
             return sent + self._on_returned(now, seg, flow)
+        if seg.reset and flow is not None and not flow.open:
+            # It may be open at another upstream, whose flow this would reset.
+            return sent + self._on_not_taken(now, seg.key, flow)
         if flow is None:
             # This agent restarted, and the upstream still holds the flow.
             flow = self._add(now, seg.key, ("", 0))
@@ -290,12 +295,20 @@
             reason = reports.DECLINED_BY_UPSTREAM
             return [self._declined(seg.key, flow.balancer, reason)]
         if not flow.taken:
-            self._absent[seg.key] = now
-            return [self._not_held(seg.key, flow.balancer)]
+            return self._on_not_taken(now, seg.key, flow)
         if flow.closing or seg.length == 0:
             return []
         return self._reset(seg.key, flow, "returned-by-upstream")
 
+    def _on_not_taken(self, now: float, key: bytes, flow: Flow) -> Outputs:
+        """Tells the balancer that the upstream does not have a flow."""
+        self._flows.pop(key, None)
+        if not flow.open and not flow.probing:
+            reason = reports.DECLINED_BY_UPSTREAM
+            return [self._declined(key, flow.balancer, reason)]
+        self._absent[key] = now
+        return [self._not_held(key, flow.balancer)]
+
     def _reset(self, key: bytes, flow: Flow, reason: str) -> Outputs:
         detail = f"reason={reason} ack={flow.ack}"
         return [
@@ -366,6 +379,7 @@
 
     def on_timer(self, now: float) -> Outputs:
         """Does what is due; call it every ``TICK_S``."""
+        self.life.begin(now)
         sent = self._check_silence(now)
         for subscriber in self._subscribers.values():
             if subscriber.due <= now:
--- a/crocusmux/core/forward/heartbeats.py
+++ b/crocusmux/core/forward/heartbeats.py
@@ -46,7 +46,14 @@
         gone: True after the upstream said that it ends.
     """
 
-    __slots__ = ("_interval_s", "_rival", "beat_at", "current", "gone")
+    __slots__ = (
+        "_began_at",
+        "_interval_s",
+        "_rival",
+        "beat_at",
+        "current",
+        "gone",
+    )
 
     def __init__(self, interval_s: float) -> None:
         """Prepares for an upstream that beats at an interval in seconds."""
@@ -54,8 +61,20 @@
         self.beat_at = float("-inf")
         self.gone = False
         self._interval_s = interval_s
+        self._began_at: float | None = None
         self._rival: Heartbeat | None = None
 
+    def begin(self, now: float) -> None:
+        """Notes since when heartbeats could have been heard."""
+        if self._began_at is None:
+            self._began_at = now
+
+    def never_heard(self, now: float) -> bool:
+        """Returns True if no heartbeat came although several were due."""
+        if self.current is not None or self._began_at is None:
+            return False
+        return now - self._began_at > OVERDUE_INTERVALS * self._interval_s
+
     def on_heartbeat(self, now: float, beat: Heartbeat) -> bool:
         """Takes a heartbeat.
 
--- a/features/forward_agent.feature
+++ b/features/forward_agent.feature
@@ -212,3 +212,28 @@
     And the upstream returns the segment
     Then the agent sends no reset
     And the balancer is told that the flow is not held
+
+  # Guards against FLOW (a): an upstream that has just started answers packets
+  # of foreign flows with a reset (grown shygrind trouble-1, at 29.4 s).
+  Scenario: A reset of an upstream that was only asked stays here
+    Given an agent of rounds without a heartbeat
+    When a balancer asks for a flow that the agent does not know
+    And the upstream resets that flow
+    Then the caller gets nothing
+    And the balancer is told that the flow is not held
+
+  # Guards against FLOW (a): a copy of the opening was offered elsewhere too.
+  Scenario: A reset of a flow that is not open here is a decline
+    Given an agent of rounds whose upstream is ready
+    When a balancer sends an opening
+    And the upstream resets that flow
+    Then the caller gets nothing
+    And the opening is declined as "upstream-full"
+
+  # Guards against a search that waits for an agent without an upstream.
+  Scenario: An agent that never heard an upstream denies flows after a while
+    Given an agent of rounds without a heartbeat
+    When 3.5 s pass at the agent
+    And a balancer asks for a flow that the agent does not know
+    Then the upstream does not get it
+    And the balancer is told that the flow is not held
--- a/features/steps/forward_agent_steps.py
+++ b/features/steps/forward_agent_steps.py
@@ -129,6 +129,17 @@
     from_upstream(context, segment(context.key, False, length=500))
 
 
+@when("the upstream resets that flow")
+def resets_flow(context):
+    from_upstream(context, segment(context.key, False, reset=True))
+
+
+@then("the caller gets nothing")
+def caller_gets_nothing(context):
+    assert not kinds(context, outputs.ToCaller)
+    assert not kinds(context, outputs.Reset)
+
+
 @when("the upstream returns the segment")
 def returns_segment(context):
     from_upstream(context, segment(context.key, returned=True, length=100))
