Confirm the holder of a flow by its claim, not by age

Cause: a balancer that offered an opening to one agent assumes that this agent holds the flow, and after one second without a denial the assumption counted as confirmed. If the segment or the denial is lost, or the caller pauses, a later denial then resets a flow that another upstream holds, because a copy of the opening went through another balancer (fault FLOW).

Change: the first segment to an assumed holder is a probe, which the agent answers with a claim; probes repeat every 0.2 s until then. Only the denial of an agent that has claimed the flow resets it; any other starts a lookup. Cost: one datagram for each flow.

The scenario "A flow that its holder denies is reset" asserted the old rule; the agent claims the flow there now. New: denials after 1.2 and 14 s, and the probes.

--- a/crocusmux/core/forward/balancer.py
+++ b/crocusmux/core/forward/balancer.py
@@ -271,7 +271,6 @@
         if len(flow.offered_hosts) > 1:
             return self._resolver.probe_all(now, seg, flow, flow.offered_hosts)
         flow.holder = flow.offered_hosts[0]
-        flow.holder_since = now
         flow.opening_segment = None
         return self._resolver.deliver(now, seg, flow)
 
--- a/crocusmux/core/forward/flow_table.py
+++ b/crocusmux/core/forward/flow_table.py
@@ -14,7 +14,8 @@
     Attributes:
         service: Service chosen at the opening; empty without an opening here.
         holder: Host of the holder, confirmed or assumed; empty if unknown.
-        holder_since: Time at which the holder became known, seconds.
+        holder_confirmed: True once the holder has claimed the flow.
+        probed_at: Time of the last probe of an assumed holder, seconds.
         offered_hosts: Hosts that got the opening and did not decline it.
         busy_hosts: Hosts that declined the opening for now.
         declined_hosts: Hosts that declined the opening for good.
@@ -35,7 +36,7 @@
         "data_sent",
         "declined_hosts",
         "holder",
-        "holder_since",
+        "holder_confirmed",
         "last_segment",
         "last_segment_at",
         "lookup",
@@ -44,6 +45,7 @@
         "open",
         "opened_at",
         "opening_segment",
+        "probed_at",
         "service",
     )
 
@@ -51,7 +53,8 @@
         self.service = ""
         self.holder = ""
         self.offered_hosts: list[str] = []
-        self.holder_since = now
+        self.holder_confirmed = False
+        self.probed_at = float("-inf")
         self.busy_hosts: set[str] = set()
         self.declined_hosts: set[str] = set()
         self.opening_segment: segments.Segment | None = None
--- a/crocusmux/core/forward/holder_resolver.py
+++ b/crocusmux/core/forward/holder_resolver.py
@@ -11,8 +11,8 @@
 from crocusmux.core.forward import segments
 from crocusmux.core.forward import upstreams
 
-# An assumed holder is confirmed if it has not denied the flow for this time.
-HOLDER_CONFIRMED_S = 1.0
+# Interval between two probes of an assumed holder, as its claim may get lost.
+PROBE_INTERVAL_S = 0.2
 # Minimum interval between reads of the list of agents because of denials.
 LIST_INTERVAL_S = 0.5
 
@@ -148,11 +148,16 @@
         upstream = self._agent_table.get(flow.holder)
         if upstream is None:
             flow.holder = ""
+            flow.holder_confirmed = False
             return self.resolve(now, seg, flow)
+        if flow.holder_confirmed:
+            return [to_agent(seg, upstream)]
         # Kept for a lookup in case the assumed holder denies the flow.
-        confirmed = now - flow.holder_since > HOLDER_CONFIRMED_S
-        flow.last_segment = None if confirmed or seg.final else seg
-        return [to_agent(seg, upstream)]
+        flow.last_segment = None if seg.final else seg
+        if now - flow.probed_at < PROBE_INTERVAL_S:
+            return [to_agent(seg, upstream)]
+        flow.probed_at = now
+        return [_make_probe(seg, upstream)]
 
     def _start_lookup(
         self, now: float, seg: segments.Segment, flow: flow_table.Flow
@@ -171,11 +176,15 @@
         Its upstream has the ``probe`` segment already.
         """
         flow = self._flows.get(key)
-        if flow is None or flow.holder == host:
+        if flow is None:
+            return []
+        if flow.holder == host:
+            flow.holder_confirmed = True
+            flow.last_segment = None
             return []
         queued = flow.lookup.queued_segments if flow.lookup else []
         flow.holder = host
-        flow.holder_since = now
+        flow.holder_confirmed = True
         flow.last_segment = flow.opening_segment = flow.lookup = None
         self._lookups.pop(key, None)
         detail = f"agent={host} kept={len(queued)}"
@@ -246,10 +255,11 @@
     def _on_holder_denial(
         self, now: float, message: reports.FlowDenied, flow: flow_table.Flow
     ) -> Outputs:
-        if now - flow.holder_since > HOLDER_CONFIRMED_S:
+        if flow.holder_confirmed:
             return self._on_flow_lost(message.key, "lost-by-holder")
         # The holder was only assumed: another balancer may have offered a
-        # duplicate of the opening to another agent.
+        # duplicate of the opening to another agent.  No time without a denial
+        # confirms it, as a segment or its denial may get lost.
         flow.holder = ""
         if flow.last_segment is None:
             return []
--- a/features/forward_balancer.feature
+++ b/features/forward_balancer.feature
@@ -67,20 +67,44 @@
     Given a balancer with the agents a, b, c of rounds and d of wheelbook
     When a caller opens a flow to rounds
     And the caller sends 1 segments
-    And 1.2 s pass
+    And the agent that was offered the flow claims it
     And the agent that was offered the flow denies it
     Then the caller gets a reset near its acknowledgement
 
   # Guards against fault FLOW (a): another agent holds the flow, as a duplicate
-  # of the opening went through another balancer.
-  Scenario: The denial of an assumed holder resets nothing
+  # of the opening went through another balancer.  A holder counted as confirmed
+  # one second after it was assumed, although its denial was lost or the caller
+  # sent nothing more through this balancer (spec/forwarding.lp, "aging").
+  Scenario Outline: The denial of an assumed holder resets nothing
     Given a balancer with the agents a, b, c of rounds and d of wheelbook
     When a caller opens a flow to rounds
     And the caller sends 1 segments
+    And <seconds> s pass
     And the agent that was offered the flow denies it
     Then the caller gets no reset
     And the two other agents of rounds are queried for it
 
+    Examples:
+      | seconds |
+      | 0       |
+      | 1.2     |
+      | 14      |
+
+  # Guards against holders that stay unconfirmed: an agent claims a flow only in
+  # reply to a probe, and the claim may get lost.
+  Scenario: An assumed holder is probed until it claims the flow
+    Given a balancer with the agents a, b, c of rounds and d of wheelbook
+    When a caller opens a flow to rounds
+    And the caller sends 3 segments
+    Then 1 of the 3 segments is a probe
+    When 0.3 s pass
+    And the caller sends 3 segments
+    Then 1 of the 3 segments is a probe
+    When the agent that was offered the flow claims it
+    And 0.3 s pass
+    And the caller sends 3 segments
+    Then 0 of the 3 segments is a probe
+
   # Guards against a refusal while other upstreams have free slots.
   Scenario: A declined flow is offered to another agent
     Given a balancer with the agents a, b, c of rounds and d of wheelbook
@@ -274,6 +298,7 @@
     Given a balancer with the agents a, b, c of rounds and d of wheelbook
     When a caller opens a flow to rounds
     And the caller sends 1 segments
+    And the agent that was offered the flow claims it
     And the caller retransmits its opening after 1.2 s
     And the agent that was offered the flow denies it
     Then the caller gets a reset near its acknowledgement
--- a/features/steps/forward_balancer_steps.py
+++ b/features/steps/forward_balancer_steps.py
@@ -335,6 +335,20 @@
     context.outs = context.core.on_message(context.now, message)
 
 
+@when("the agent that was offered the flow claims it")
+def offered_agent_claims(context):
+    message = reports.FlowClaimed(context.offered[0], context.key)
+    context.outs = context.core.on_message(context.now, message)
+    assert not context.outs, context.outs
+
+
+@then("{probes:d} of the {count:d} segments is a probe")
+def count_probes(context, probes, count):
+    marks = [o.mark for o in context.outs if isinstance(o, outputs.ToAgent)]
+    assert len(marks) == count, marks
+    assert marks.count(segments.MARK_PROBE) == probes, marks
+
+
 @when("the agent that was offered the flow declines it")
 def offered_agent_declines(context):
     reply = reports.OpeningDeclined(context.offered[0], context.key, "overload")
