Let agents report while the denial of an assumed holder is late

In the example of 14 s no agent reported, so all of them counted as lost and none was left to query; the step lets them report now, as they do in service.

--- a/features/forward_balancer.feature
+++ b/features/forward_balancer.feature
@@ -79,7 +79,7 @@
     Given a balancer with the agents a, b, c of rounds and d of wheelbook
     When a caller opens a flow to rounds
     And the caller sends 1 segments
-    And <seconds> s pass
+    And <seconds> s pass with reports of all agents
     And the agent that was offered the flow denies it
     Then the caller gets no reset
     And the two other agents of rounds are queried for it
--- a/features/steps/forward_balancer_steps.py
+++ b/features/steps/forward_balancer_steps.py
@@ -392,6 +392,13 @@
     context.outs = context.core.on_timer(context.now)
 
 
+@when("{seconds:g} s pass with reports of all agents")
+def time_passes_with_reports(context, seconds):
+    context.now += seconds
+    report_all(context, "abcd")
+    context.outs = context.core.on_timer(context.now)
+
+
 @when("a configuration of an {age} version without routes arrives")
 @when("a configuration of a {age} version without routes arrives")
 def empty_configuration(context, age):
