Find the candidates of a flow on a hash ring

Cause: for each new flow, and for each first segment of an unknown flow, a balancer filtered all agents of the service and ranked them by a hash each; a lookup that its first round did not answer asked all agents.

Change: AgentTable moves to its own module and keeps a ring of hash points for each service and for each of its failure domains. A flow walks its ring until it has enough usable agents, 256 points at most. If none of them accepts, one scan of the service in 50 ms finds the few that do. A lookup asks 8 agents, then 8 and 32 of each failure domain, then all others: the queries for a flow that some agent holds do not grow with the fleet. For a flow that nobody holds every agent still has to deny it, 64 flows a datagram.

--- /dev/null
+++ b/crocusmux/core/forward/agent_table.py
@@ -0,0 +1,231 @@
+"""A balancer's table of agents, by host and by service."""
+
+from collections.abc import Callable, Iterable, Iterator
+import itertools
+
+from crocusmux.core.forward import hash_ring
+from crocusmux.core.forward import reports
+from crocusmux.core.forward import upstreams
+
+# Share of a flow's preferred upstreams in the balancer's failure domain; the
+# others get flows for which that domain has no capacity.
+LOCAL_DOMAIN_SHARE = 0.625
+
+Usable = Callable[[upstreams.Upstream], bool]
+
+
+class _Service:
+    """The agents of one service, and their rings.
+
+    An agent has the same points on both of its rings, so a flow prefers the
+    agents of a failure domain in the same order on either.
+
+    Attributes:
+        agents: All agents by host.
+        ring: All agents.
+        rings: The agents of each failure domain.
+    """
+
+    __slots__ = ("agents", "ring", "rings")
+
+    def __init__(self) -> None:
+        self.agents: dict[str, upstreams.Upstream] = {}
+        self.ring = hash_ring.HashRing()
+        self.rings: dict[str, hash_ring.HashRing] = {}
+
+    def add(self, upstream: upstreams.Upstream) -> None:
+        """Adds an agent."""
+        domain = upstream.record.failure_domain
+        self.agents[upstream.record.host] = upstream
+        self.ring.add(upstream)
+        self.rings.setdefault(domain, hash_ring.HashRing()).add(upstream)
+
+    def remove(self, upstream: upstreams.Upstream) -> None:
+        """Removes an agent."""
+        record = upstream.record
+        del self.agents[record.host]
+        self.ring.remove(record.host)
+        self.rings[record.failure_domain].remove(record.host)
+
+    def walk_domain(
+        self, key: bytes, domain: str
+    ) -> Iterator[upstreams.Upstream]:
+        """Yields agents of one failure domain in a flow's order."""
+        ring = self.rings.get(domain)
+        return ring.walk(key) if ring else iter(())
+
+    def walk_others(
+        self, key: bytes, domain: str
+    ) -> Iterator[upstreams.Upstream]:
+        """Yields agents of all other failure domains in a flow's order."""
+        if domain in self.rings and len(self.rings) == 1:
+            return iter(())
+        walk = self.ring.walk(key)
+        return (x for x in walk if x.record.failure_domain != domain)
+
+
+class AgentTable:
+    """All agents known to a balancer, by host and by service.
+
+    Attributes:
+        complete: True once all agents in the store have been registered.
+        listed_at: Time of the request for the newest full list, seconds.
+    """
+
+    __slots__ = (
+        "_by_address",
+        "_by_host",
+        "_by_service",
+        "_failure_domain",
+        "complete",
+        "listed_at",
+    )
+
+    def __init__(self, failure_domain: str) -> None:
+        """Creates an empty table for a balancer in a failure domain."""
+        self.complete = False
+        self.listed_at = float("-inf")
+        self._failure_domain = failure_domain
+        self._by_host: dict[str, upstreams.Upstream] = {}
+        self._by_address: dict[tuple[str, int], str] = {}
+        self._by_service: dict[str, _Service] = {}
+
+    def __len__(self) -> int:
+        return len(self._by_host)
+
+    def register(self, now: float, record: upstreams.AgentRecord) -> bool:
+        """Adds an agent or replaces its record.
+
+        Returns:
+            False if nothing changed.
+        """
+        previous = self._by_host.get(record.host)
+        if previous is not None and previous.record == record:
+            return False
+        self.remove(record.host)
+        # Two agents cannot share an address; the newer record replaces the old.
+        self.remove(self._by_address.get(record.address, ""))
+        upstream = upstreams.Upstream(now, record)
+        self._by_host[record.host] = upstream
+        self._by_address[record.address] = record.host
+        service = self._by_service.setdefault(record.service, _Service())
+        service.add(upstream)
+        return True
+
+    def remove(self, host: str) -> bool:
+        """Removes an agent; returns False if it was unknown."""
+        upstream = self._by_host.pop(host, None)
+        if upstream is None:
+            return False
+        del self._by_address[upstream.record.address]
+        self._by_service[upstream.record.service].remove(upstream)
+        return True
+
+    def record_list(self, requested_at: float) -> None:
+        """Records that the full list requested at a time is registered."""
+        self.complete = True
+        self.listed_at = max(self.listed_at, requested_at)
+
+    def get(self, host: str) -> upstreams.Upstream | None:
+        """Returns the upstream of a host; None if it is unknown."""
+        return self._by_host.get(host)
+
+    def for_services(self, names: Iterable[str]) -> "ServiceAgents":
+        """Returns the agents of the given services."""
+        known = (self._by_service.get(name) for name in names)
+        return ServiceAgents(
+            self._failure_domain, [service for service in known if service]
+        )
+
+    def all(self) -> list[upstreams.Upstream]:
+        """Returns all upstreams."""
+        return list(self._by_host.values())
+
+    def hosts(self) -> set[str]:
+        """Returns the host names of all agents."""
+        return set(self._by_host)
+
+    def on_report(self, now: float, report: reports.LoadReport) -> bool:
+        """Records a load report.
+
+        Returns:
+            False if the agent is unknown, its record names another service, or
+            a newer report was recorded.
+        """
+        upstream = self._by_host.get(report.host)
+        if upstream is None or upstream.record.service != report.service:
+            return False
+        previous = upstream.report
+        if (
+            previous is not None
+            and previous.incarnation == report.incarnation
+            and report.sequence <= previous.sequence
+        ):
+            return False
+        upstream.report = report
+        upstream.unreported_offers = 0
+        upstream.avoided = False
+        upstream.reported_at = now
+        return True
+
+
+class ServiceAgents:
+    """The agents of some services, without a copy of their list."""
+
+    __slots__ = ("_failure_domain", "_services")
+
+    def __init__(self, failure_domain: str, services: list[_Service]) -> None:
+        """Joins services, for a balancer in a failure domain."""
+        self._failure_domain = failure_domain
+        self._services = services
+
+    def __len__(self) -> int:
+        return sum(len(service.agents) for service in self._services)
+
+    def __iter__(self) -> Iterator[upstreams.Upstream]:
+        for service in self._services:
+            yield from service.agents.values()
+
+    def preferred(
+        self, key: bytes, usable: Usable, count: int
+    ) -> list[upstreams.Upstream]:
+        """Returns the agents among which a flow is placed and first looked up.
+
+        Most are in the balancer's failure domain, so that all balancers of that
+        domain prefer the same ones.
+
+        Args:
+            key: Flow key.
+            usable: Returns True for the agents to choose from.
+            count: Maximum number of agents for each service.
+        """
+        chosen: list[upstreams.Upstream] = []
+        for service in self._services:
+            domain = self._failure_domain
+            local = filter(usable, service.walk_domain(key, domain))
+            remote = filter(usable, service.walk_others(key, domain))
+            local_count = round(LOCAL_DOMAIN_SHARE * count)
+            agents = list(itertools.islice(local, local_count))
+            agents += itertools.islice(remote, count - len(agents))
+            agents += itertools.islice(local, count - len(agents))
+            chosen += agents
+        return chosen
+
+    def preferred_in_each_domain(
+        self, key: bytes, usable: Usable, count: int
+    ) -> list[upstreams.Upstream]:
+        """Returns the agents that balancers of any failure domain prefer.
+
+        Args:
+            key: Flow key.
+            usable: Returns True for the agents to choose from.
+            count: Maximum number for each failure domain of each service.
+        """
+        return [
+            upstream
+            for service in self._services
+            for domain in service.rings
+            for upstream in itertools.islice(
+                filter(usable, service.walk_domain(key, domain)), count
+            )
+        ]
--- a/crocusmux/core/forward/balancer.py
+++ b/crocusmux/core/forward/balancer.py
@@ -2,6 +2,7 @@
 
 import random
 
+from crocusmux.core.forward import agent_table
 from crocusmux.core.forward import flow_table
 from crocusmux.core.forward import holder_lookup
 from crocusmux.core.forward import holder_resolver
@@ -27,8 +28,12 @@
 # Validity of a subscription in subscribe intervals, as datagrams get lost.
 SUBSCRIPTION_INTERVALS = 5
 EXPIRY_INTERVAL_S = 1.0
-# Maximum age of a cached flow density.
+# Maximum age of a cached flow density, and the agents from which it is taken.
 FLOW_DENSITY_INTERVAL_S = 0.25
+FLOW_DENSITY_SAMPLE = 256
+# Minimum interval between two scans of all agents of a service for some that
+# accept new flows.
+SCAN_INTERVAL_S = 0.05
 # Time for which a flow is kept beyond its idle time.
 IDLE_SLACK_S = 5.0
 # A SYN retransmitted after this time is offered to another upstream.
@@ -77,7 +82,7 @@
             rng: Source of random numbers.
         """
         self.routes = routes.RouteTable()
-        self.agent_table = upstreams.AgentTable()
+        self.agent_table = agent_table.AgentTable(failure_domain)
         self.flows = flow_table.FlowTable()
         self.newest_config = (0, "")
         self._host = host
@@ -87,10 +92,12 @@
         self._rng = rng
         self._openings = openings.OpeningQueue()
         self._resolver = holder_resolver.HolderResolver(
-            self.routes, self.agent_table, self.flows, failure_domain
+            self.routes, self.agent_table, self.flows
         )
         self._next_subscribe_at = 0.0
         self._next_resubscribe_at = 0.0
+        # Time from which all agents may be scanned again, by service.
+        self._next_scans: dict[str, float] = {}
         # Time of calculation and flow density, by service.
         self._flow_densities: dict[str, tuple[float, float]] = {}
         self._next_expiry_at = 0.0
@@ -190,14 +197,7 @@
     ) -> Outputs:
         """Offers a new flow to the best upstream that has not been tried."""
         tried = {*flow.offered_hosts, *flow.busy_hosts, *flow.declined_hosts}
-        candidates = [
-            upstream
-            for upstream in self.agent_table.for_services((flow.service,))
-            if upstream.record.host not in tried and upstream.accepts(now)
-        ]
-        candidates = upstreams.preferred(
-            seg.key, candidates, self._failure_domain, MAX_CANDIDATES
-        )
+        candidates = self._candidates(now, seg.key, flow.service, tried)
         chosen = None
         if len(flow.offered_hosts) + len(flow.busy_hosts) < MAX_OFFERS:
             chosen = selection.choose(
@@ -218,11 +218,32 @@
             outputs.Timing(outputs.PLACED, now - flow.opened_at),
         ]
 
+    def _candidates(
+        self, now: float, key: bytes, service: str, tried: set[str]
+    ) -> list[upstreams.Upstream]:
+        """Returns upstreams that accept a new flow, preferred ones if any do."""
+
+        def usable(upstream: upstreams.Upstream) -> bool:
+            return upstream.record.host not in tried and upstream.accepts(now)
+
+        agents = self.agent_table.for_services((service,))
+        candidates = agents.preferred(key, usable, MAX_CANDIDATES)
+        if candidates or now < self._next_scans.get(service, 0.0):
+            return candidates
+        # Few of many agents accept flows, so none of the preferred ones does.
+        self._next_scans[service] = now + SCAN_INTERVAL_S
+        accepting = [upstream for upstream in agents if usable(upstream)]
+        if len(accepting) <= MAX_CANDIDATES:
+            return accepting
+        return self._rng.sample(accepting, MAX_CANDIDATES)
+
     def _mean_flow_density(self, now: float, service: str) -> float:
         """Returns the open flows of a service per unit of its capacity."""
         cached = self._flow_densities.get(service)
         if cached is None or now - cached[0] > FLOW_DENSITY_INTERVAL_S:
-            agents = self.agent_table.for_services((service,))
+            agents = list(self.agent_table.for_services((service,)))
+            if len(agents) > FLOW_DENSITY_SAMPLE:
+                agents = self._rng.sample(agents, FLOW_DENSITY_SAMPLE)
             live = [upstream for upstream in agents if not upstream.silent(now)]
             cached = now, selection.flow_density(live)
             self._flow_densities[service] = cached
@@ -370,11 +391,11 @@
         return sent
 
     def _report_interval_s(self) -> float:
-        agent_count = len(self.agent_table.hosts())
+        agent_count = len(self.agent_table)
         return max(REPORT_INTERVAL_S, agent_count / MAX_REPORTS_PER_S)
 
     def _subscribe_interval_s(self) -> float:
-        agent_count = len(self.agent_table.hosts())
+        agent_count = len(self.agent_table)
         return max(SUBSCRIBE_INTERVAL_S, agent_count / MAX_SUBSCRIPTIONS_PER_S)
 
     def _subscribe(self) -> Outputs:
@@ -418,7 +439,7 @@
         self,
         key: bytes,
         flow: flow_table.Flow,
-        agents: list[upstreams.Upstream],
+        agents: agent_table.ServiceAgents,
     ) -> outputs.Event:
         detail = (
             f"service={flow.service} agents={len(agents)}"
--- a/crocusmux/core/forward/holder_lookup.py
+++ b/crocusmux/core/forward/holder_lookup.py
@@ -1,10 +1,16 @@
 """Lookup of the holder of one flow, in rounds of flow queries to agents."""
 
+from crocusmux.core.forward import agent_table
 from crocusmux.core.forward import segments
 from crocusmux.core.forward import upstreams
 
 # Agents queried in the first round; new flows are placed among them.
 FIRST_ROUND_AGENTS = 8
+# Agents of each failure domain queried in the second and in the third round.
+# The holder is one of them if a balancer of another domain placed the flow, or
+# if agents have joined, left or returned since.
+DOMAIN_ROUND_AGENTS = (8, 32)
+FIRST_ROUND = 1
 # Time to wait for replies, and between two searches.
 ROUND_TIMEOUT_S = 0.06
 # Limit of the exponential backoff of rounds without any denial: the queries of
@@ -22,8 +28,10 @@
 class HolderLookup:
     """The lookup of one flow's holder.
 
-    A search first queries the agents that rank best by rendezvous hashing,
-    those that report before silent ones, then all others.  An agent that
+    A search first queries the agents that the flow prefers by consistent
+    hashing, among those that report, then those that it prefers in each failure
+    domain, then all others: the queries for a flow that some agent holds do not
+    grow with the number of agents.  An agent that
     started after its upstream is uncertain.  Its upstream is probed only after
     all other agents have denied the flow, because an upstream must not get
     many segments of flows that others hold.  Once all agents have denied the
@@ -43,8 +51,8 @@
 
     __slots__ = (
         "_denied_by",
-        "_failure_domain",
         "_queried",
+        "_rounds",
         "_timeout_s",
         "_uncertain",
         "began_at",
@@ -55,16 +63,14 @@
         "searches",
     )
 
-    def __init__(
-        self, now: float, segment: segments.Segment, failure_domain: str
-    ) -> None:
+    def __init__(self, now: float, segment: segments.Segment) -> None:
         self.probe_segment = segment
-        self._failure_domain = failure_domain
         self.queued_segments: list[segments.Segment] = []
         self.queried_at = float("-inf")
         self.last_segment_at = now
         self.began_at = now
         self.searches = 0
+        self._rounds = 0
         self._timeout_s = ROUND_TIMEOUT_S
         self._queried: set[str] = set()
         self._denied_by: set[str] = set()
@@ -88,40 +94,67 @@
         return now - self.last_segment_at > CALLER_IDLE_S
 
     def next_round(
-        self, now: float, agents: list[upstreams.Upstream]
+        self, now: float, agents: agent_table.ServiceAgents
     ) -> list[upstreams.Upstream]:
         """Begins a round and returns which of the possible holders to query."""
         if self.queried_at > float("-inf"):
             self._timeout_s = min(2 * self._timeout_s, MAX_ROUND_TIMEOUT_S)
         self.queried_at = now
-        agents = [x for x in agents if not x.lost(now)]
-        targets = [x for x in agents if x.record.host not in self._queried]
-        limited = not self._queried
-        if not targets:
-            # All agents were queried; query some without a reply again.
-            replied = self._denied_by | self._uncertain
-            targets = [x for x in agents if x.record.host not in replied]
-            limited = True
-        if limited and len(targets) > FIRST_ROUND_AGENTS:
-            targets = self._first_round(now, targets)
+        self._rounds += 1
+        targets = self._next_targets(now, agents)
         self._queried.update(x.record.host for x in targets)
         return targets
 
-    def _first_round(
-        self, now: float, agents: list[upstreams.Upstream]
+    def begin_with(self, now: float, agents: list[upstreams.Upstream]) -> None:
+        """Records that the given agents are probed as the first round."""
+        self.queried_at = now
+        self._rounds = FIRST_ROUND
+        self._queried.update(x.record.host for x in agents)
+
+    def _next_targets(
+        self, now: float, agents: agent_table.ServiceAgents
     ) -> list[upstreams.Upstream]:
-        """Returns the preferred agents, reporting ones before silent ones."""
-        key, domain = self.probe_segment.key, self._failure_domain
-        reporting = [x for x in agents if not x.silent(now)]
-        first = upstreams.preferred(key, reporting, domain, FIRST_ROUND_AGENTS)
-        if len(first) < FIRST_ROUND_AGENTS:
-            silent = [x for x in agents if x.silent(now)]
-            first += upstreams.preferred(
-                key, silent, domain, FIRST_ROUND_AGENTS - len(first)
+        key = self.probe_segment.key
+
+        def new(upstream: upstreams.Upstream) -> bool:
+            host = upstream.record.host
+            return host not in self._queried and not upstream.lost(now)
+
+        def new_and_reporting(upstream: upstreams.Upstream) -> bool:
+            return new(upstream) and not upstream.silent(now)
+
+        targets: list[upstreams.Upstream] = []
+        if self._rounds == FIRST_ROUND:
+            targets = agents.preferred(
+                key, new_and_reporting, FIRST_ROUND_AGENTS
             )
-        return first
+        elif self._rounds <= FIRST_ROUND + len(DOMAIN_ROUND_AGENTS):
+            count = DOMAIN_ROUND_AGENTS[self._rounds - FIRST_ROUND - 1]
+            targets = agents.preferred_in_each_domain(key, new, count)
+        return (
+            targets
+            or [x for x in agents if new(x)]
+            or self._without_reply(now, agents)
+        )
+
+    def _without_reply(
+        self, now: float, agents: agent_table.ServiceAgents
+    ) -> list[upstreams.Upstream]:
+        """Returns some agents to query again, other ones in each round."""
+        replied = self._denied_by | self._uncertain
+        targets = [
+            x
+            for x in agents
+            if x.record.host not in replied and not x.lost(now)
+        ]
+        if not targets:
+            return []
+        start = self._rounds * FIRST_ROUND_AGENTS % len(targets)
+        return (targets + targets)[start:][:FIRST_ROUND_AGENTS]
 
-    def all_replied(self, now: float, agents: list[upstreams.Upstream]) -> bool:
+    def all_replied(
+        self, now: float, agents: agent_table.ServiceAgents
+    ) -> bool:
         """Returns True if every possible holder that reports has replied."""
         replied = self._denied_by | self._uncertain
         return all(x.record.host in replied or x.silent(now) for x in agents)
@@ -163,7 +196,7 @@
         return self._queried <= self._denied_by | self._uncertain
 
     def end_search_if_denied(
-        self, now: float, agents: list[upstreams.Upstream]
+        self, now: float, agents: agent_table.ServiceAgents
     ) -> bool:
         """Ends the search if all agents that are not lost denied the flow.
 
@@ -178,6 +211,7 @@
         if self.searches < SEARCHES_UNTIL_LOST:
             self.searches += 1
         if self.searches < SEARCHES_UNTIL_LOST:
+            self._rounds = 0
             self._queried.clear()
             self._denied_by.clear()
             self._uncertain.clear()
--- a/crocusmux/core/forward/holder_resolver.py
+++ b/crocusmux/core/forward/holder_resolver.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+from crocusmux.core.forward import agent_table
 from crocusmux.core.forward import flow_queries
 from crocusmux.core.forward import flow_table
 from crocusmux.core.forward import holder_lookup
@@ -28,7 +29,6 @@
 
     __slots__ = (
         "_agent_table",
-        "_failure_domain",
         "_flows",
         "_lookups",
         "_next_list_at",
@@ -39,22 +39,19 @@
     def __init__(
         self,
         route_table: routes.RouteTable,
-        agent_table: upstreams.AgentTable,
+        agents: agent_table.AgentTable,
         flows: flow_table.FlowTable,
-        failure_domain: str,
     ) -> None:
         """Creates a resolver without lookups.
 
         Args:
             route_table: The configuration in force.
-            agent_table: All agents.
+            agents: All agents.
             flows: Connection tracking of the balancer.
-            failure_domain: Failure domain of the balancer.
         """
         self._routes = route_table
-        self._agent_table = agent_table
+        self._agent_table = agents
         self._flows = flows
-        self._failure_domain = failure_domain
         self._lookups: dict[bytes, flow_table.Flow] = {}
         self._queries = flow_queries.FlowQueries()
         self._next_list_at = float("-inf")
@@ -81,8 +78,8 @@
         The caller's acknowledgement tells which SYN+ACK the caller accepted.
         """
         known = [self._agent_table.get(host) for host in hosts]
-        lookup = self._start_lookup(now, seg, flow)
-        probed = lookup.next_round(now, [x for x in known if x])
+        probed = [upstream for upstream in known if upstream]
+        self._start_lookup(now, seg, flow).begin_with(now, probed)
         return [_make_probe(seg, upstream) for upstream in probed]
 
     def on_timer(self, now: float) -> Outputs:
@@ -163,7 +160,7 @@
         self, now: float, seg: segments.Segment, flow: flow_table.Flow
     ) -> holder_lookup.HolderLookup:
         """Starts a lookup with a first queued segment."""
-        flow.lookup = holder_lookup.HolderLookup(now, seg, self._failure_domain)
+        flow.lookup = holder_lookup.HolderLookup(now, seg)
         flow.lookup.queue_segment(now, seg)
         self._lookups[seg.key] = flow
         return flow.lookup
@@ -248,9 +245,9 @@
 
     def _possible_holders(
         self, lookup: holder_lookup.HolderLookup
-    ) -> list[upstreams.Upstream]:
+    ) -> agent_table.ServiceAgents:
         route = self._routes.find_route(lookup.probe_segment.key)
-        return self._agent_table.for_services(route.services()) if route else []
+        return self._agent_table.for_services(route.services() if route else ())
 
     def _on_holder_denial(
         self, now: float, message: reports.FlowDenied, flow: flow_table.Flow
--- a/crocusmux/core/forward/upstreams.py
+++ b/crocusmux/core/forward/upstreams.py
@@ -1,6 +1,4 @@
-"""A balancer's table of agents and the state of their upstreams."""
-
-from collections.abc import Iterable
+"""Agents and the state of their upstreams, as a balancer knows them."""
 
 import msgspec
 import xxhash
@@ -27,9 +25,6 @@
 # An agent that declined a flow because of overload gets no other flow for this
 # time, about one service time.
 OVERLOAD_BACKOFF_S = 0.03
-# Share of a flow's preferred upstreams in the balancer's failure domain; the
-# others get flows for which that domain has no capacity.
-LOCAL_DOMAIN_SHARE = 0.625
 
 
 class AgentRecord(msgspec.Struct, frozen=True):
@@ -126,136 +121,6 @@
         )
 
 
-class AgentTable:
-    """All agents known to a balancer, by host and by service.
-
-    Attributes:
-        complete: True once all agents in the store have been registered.
-        listed_at: Time of the request for the newest full list, seconds.
-    """
-
-    __slots__ = ("_by_host", "_by_service", "complete", "listed_at")
-
-    def __init__(self) -> None:
-        self.complete = False
-        self.listed_at = float("-inf")
-        self._by_host: dict[str, Upstream] = {}
-        self._by_service: dict[str, list[Upstream]] = {}
-
-    def register(self, now: float, record: AgentRecord) -> bool:
-        """Adds an agent or replaces its record.
-
-        Returns:
-            False if nothing changed.
-        """
-        previous = self._by_host.get(record.host)
-        if previous is not None and previous.record == record:
-            return False
-        if previous is not None:
-            self.remove(record.host)
-        # Two agents cannot share an address; the newer record replaces the old.
-        for other in list(self._by_host.values()):
-            if other.record.address == record.address:
-                self.remove(other.record.host)
-        upstream = Upstream(now, record)
-        self._by_host[record.host] = upstream
-        self._by_service.setdefault(record.service, []).append(upstream)
-        return True
-
-    def remove(self, host: str) -> bool:
-        """Removes an agent; returns False if it was unknown."""
-        upstream = self._by_host.pop(host, None)
-        if upstream is None:
-            return False
-        self._by_service[upstream.record.service].remove(upstream)
-        return True
-
-    def record_list(self, requested_at: float) -> None:
-        """Records that the full list requested at a time is registered."""
-        self.complete = True
-        self.listed_at = max(self.listed_at, requested_at)
-
-    def get(self, host: str) -> Upstream | None:
-        """Returns the upstream of a host; None if it is unknown."""
-        return self._by_host.get(host)
-
-    def for_services(self, services: Iterable[str]) -> list[Upstream]:
-        """Returns all upstreams of the given services."""
-        return [
-            upstream
-            for name in services
-            for upstream in self._by_service.get(name, ())
-        ]
-
-    def all(self) -> list[Upstream]:
-        """Returns all upstreams."""
-        return list(self._by_host.values())
-
-    def hosts(self) -> set[str]:
-        """Returns the host names of all agents."""
-        return set(self._by_host)
-
-    def on_report(self, now: float, report: reports.LoadReport) -> bool:
-        """Records a load report.
-
-        Returns:
-            False if the agent is unknown, its record names another service, or
-            a newer report was recorded.
-        """
-        upstream = self._by_host.get(report.host)
-        if upstream is None or upstream.record.service != report.service:
-            return False
-        previous = upstream.report
-        if (
-            previous is not None
-            and previous.incarnation == report.incarnation
-            and report.sequence <= previous.sequence
-        ):
-            return False
-        upstream.report = report
-        upstream.unreported_offers = 0
-        upstream.avoided = False
-        upstream.reported_at = now
-        return True
-
-
 def service_tag(service: str) -> int:
     """Returns the 32-bit hash of a service name, sent with its segments."""
     return xxhash.xxh32_intdigest(service.encode())
-
-
-def preferred(
-    key: bytes, upstreams: list[Upstream], failure_domain: str, count: int
-) -> list[Upstream]:
-    """Returns the upstreams among which a flow is placed and first looked up.
-
-    They rank best by rendezvous hashing, most of them in one failure domain,
-    so that all balancers of that domain prefer the same ones.
-
-    Args:
-        key: Flow key.
-        upstreams: Upstreams to choose from.
-        failure_domain: Failure domain of the balancer.
-        count: Maximum number of upstreams to return.
-    """
-    if len(upstreams) <= count:
-        return list(upstreams)
-    local: list[Upstream] = []
-    remote: list[Upstream] = []
-    for upstream in rank_by_rendezvous(key, upstreams):
-        same = upstream.record.failure_domain == failure_domain
-        (local if same else remote).append(upstream)
-    local_count = max(round(LOCAL_DOMAIN_SHARE * count), count - len(remote))
-    local = local[:local_count]
-    return local + remote[: count - len(local)]
-
-
-def rank_by_rendezvous(key: bytes, upstreams: list[Upstream]) -> list[Upstream]:
-    """Returns upstreams in their order by rendezvous hashing for a flow."""
-    return sorted(
-        upstreams,
-        key=lambda upstream: xxhash.xxh64_intdigest(
-            key + upstream.record.host.encode()
-        ),
-        reverse=True,
-    )
--- a/features/forward_balancer.feature
+++ b/features/forward_balancer.feature
@@ -451,3 +451,38 @@
     And the balancer has just subscribed to all agents
     When 1.5 s pass in which h7 does not report
     Then h7 alone got subscriptions, at least twice
+
+  # Guards against a cost for each flow that grows with the fleet: all agents of
+  # the service were filtered and ranked for each new or unknown flow.
+  Scenario: The agents examined for a flow do not grow with the service
+    Given a balancer with 1000 agents of rounds
+    When a caller opens a flow to rounds
+    Then at most 40 agents were examined
+    When a segment of an unknown flow to rounds arrives
+    Then 8 agents are queried for it
+    And at most 40 agents were examined
+
+  # Guards against lookups whose queries grow with the fleet: the second round
+  # went to all agents.
+  Scenario Outline: A flow is found with few queries while agents come and go
+    Given a balancer with 300 agents of rounds in 4 failure domains
+    When 40 flows are placed while <away> percent of the agents are away
+    And another balancer in <domain> with <new> more agents looks them up
+    Then each holder was among the first 168 agents queried
+    And 90 percent of them were among the first 40
+
+    Examples:
+      | away | new | domain |
+      | 0    | 0   | abay   |
+      | 50   | 0   | abay   |
+      | 10   | 30  | abay   |
+      | 10   | 30  | enbek  |
+
+  # Guards against a refusal while a few agents of a large service accept flows:
+  # none of them is among those that the flow prefers.
+  Scenario: A flow goes to the only agent of a large service that accepts flows
+    Given a balancer with 600 agents of rounds
+    When all agents but h17 decline new flows
+    And a caller opens a flow to rounds
+    And 0.1 s pass
+    Then agent h17 was offered the flow
