Let a stopping agent forward until its draining upstream has left

Cause: an agent withdrew as soon as it was told to stop while its upstream did not accept flows. An upstream that drains keeps its flows and may serve a slow upload for many seconds more; with its agent's record gone, all other agents denied the flow, and a balancer reset it.

Change: the agent withdraws only once its upstream has deregistered, is dead, is overdue or was never heard, and forwards meanwhile, up to the grace period less the time for the withdrawal. A stop beside an upstream that accepts flows takes 0.5 s at most, as before.

--- a/crocusmux/core/forward/agent.py
+++ b/crocusmux/core/forward/agent.py
@@ -436,6 +436,15 @@
             and not self.lifecycle.overdue(now)
         )
 
+    def upstream_gone(self, now: float) -> bool:
+        """Returns True if the upstream has left, died or never started."""
+        return (
+            self.lifecycle.deregistered
+            or self.lifecycle.overdue(now)
+            or self.lifecycle.never_heard(now)
+            or self._is_dead(now)
+        )
+
     def _report_change(self, now: float) -> Outputs:
         if self.accepting(now) == self._reported_accepting:
             return []
--- a/crocusmux/core/forward/holder_lookup.py
+++ b/crocusmux/core/forward/holder_lookup.py
@@ -147,10 +147,10 @@
             for x in agents
             if x.record.host not in replied and not x.lost(now)
         ]
-        if not targets:
-            return []
+        if len(targets) <= FIRST_ROUND_AGENTS:
+            return targets
         start = self._rounds * FIRST_ROUND_AGENTS % len(targets)
-        return (targets + targets)[start:][:FIRST_ROUND_AGENTS]
+        return (targets + targets)[start : start + FIRST_ROUND_AGENTS]
 
     def all_replied(
         self, now: float, agents: agent_table.ServiceAgents
--- a/crocusmux/daemons/forward_agent.py
+++ b/crocusmux/daemons/forward_agent.py
@@ -78,16 +78,26 @@
         forward.supervise(self._tasks, self._announce())
 
     async def stop(self) -> None:
-        """Declines new flows; withdraws unless the upstream is available."""
+        """Declines new flows, and withdraws if the upstream is gone.
+
+        An upstream that drains or is silent may still serve flows, which only
+        this agent can reach, and balancers reset the flows of an agent that
+        has withdrawn.
+        """
         upstream_available = self.core.accepting(self._loop.time())
         self._execute(self.core.stop(self._loop.time()))
         if upstream_available:
             await process.wait_until(self._no_requests, DRAIN_TIMEOUT_S)
         else:
-            await self._withdraw()
+            limit_s = self._cfg.grace_s - WITHDRAW_TIMEOUT_S
+            if await process.wait_until(self._upstream_gone, limit_s):
+                await self._withdraw()
         for task in list(self._tasks):
             task.cancel()
 
+    def _upstream_gone(self) -> bool:
+        return self.core.upstream_gone(self._loop.time())
+
     def _no_requests(self) -> bool:
         return self.core.load.in_progress == 0
 
--- a/features/forward_path.feature
+++ b/features/forward_path.feature
@@ -54,10 +54,37 @@
   Scenario: An agent whose upstream has left withdraws and gets no new flows
     Given a store with a route to rounds, 2 balancers and 2 agents of rounds
     When the upstream of agent 1 leaves and the agent stops
-    Then the store lists one agent
+    Then the store lists 1 agents
     When 20 callers open flows through balancer 1
     Then upstream 1 gets none of them
 
+  # Guards against fault FLOW (a): an upstream that drained still served a slow
+  # upload when its agent was told to stop.  The agent withdrew at once, all
+  # others denied the flow, and a balancer reset it (large, small twin of
+  # trouble-1 at 24.5 s).
+  Scenario: An agent whose upstream still drains forwards until it has left
+    Given a store with a route to rounds, 2 balancers and 2 agents of rounds
+    When a caller opens a flow through balancer 1
+    Then the caller gets a SYN+ACK
+    When the upstream that answered drains and its agent begins to stop
+    And 1.5 s pass on all hosts
+    Then the store lists 2 agents
+    When the caller sends a request through balancer 2
+    Then the upstream that answered gets it once and the other one nothing
+    And the caller gets the answer
+    When the upstream that answered leaves
+    And 0.5 s pass on all hosts
+    Then the store lists 1 agents
+
+  # Guards against an announcement that outlives its upstream.
+  Scenario: An agent that stops withdraws once its upstream counts as dead
+    Given a store with a route to rounds, 2 balancers and 2 agents of rounds
+    When a caller opens a flow through balancer 1
+    Then the caller gets a SYN+ACK
+    When the upstream that answered drains and its agent begins to stop
+    And 4 s pass on all hosts
+    Then the store lists 1 agents
+
   # Guards against a balancer that leaves the rotation too late.
   Scenario: A balancer that stops is not ready but forwards segments
     Given a store with a route to rounds, 2 balancers and 2 agents of rounds
--- a/features/steps/forward_path_steps.py
+++ b/features/steps/forward_path_steps.py
@@ -158,7 +158,7 @@
     context.standin.put("config", "main", state)
 
 
-def send_heartbeat(context, number, sequence, path="heartbeat"):
+def send_heartbeat(context, number, sequence, path="heartbeat", state="ready"):
     ip = f"127.0.2.{number}"
     body = {
         "service": "rounds",
@@ -166,7 +166,7 @@
         "zone": "abay",
         "version": "v1",
         "max_concurrency": 2,
-        "state": "ready",
+        "state": state,
         "warmup_left_ms": 0,
         "sequence": sequence,
         "born": 1000,
@@ -379,10 +379,33 @@
     context.loop.run_until_complete(daemon.stop())
 
 
-@then("the store lists one agent")
-def one_agent(context):
-    kinds = [daemon_class for daemon_class, _ in context.standin.objects]
-    assert kinds.count("agents") == 1
+@then("the store lists {count:d} agents")
+def check_agent_count(context, count):
+    kinds = [kind for kind, _ in context.standin.objects]
+    assert kinds.count("agents") == count, context.standin.objects
+
+
+@when("the upstream that answered drains and its agent begins to stop")
+def drain_and_stop(context):
+    (context.holder,) = [u for u in context.upstreams.values() if u.openings]
+    number = context.holder.number
+    assert send_heartbeat(context, number, 2, state="draining").status == 200
+    daemon = context.daemons["agent", number]
+    context.stopping = context.loop.create_task(daemon.stop())
+    context.loop.run_until_complete(asyncio.sleep(0))
+
+
+@when("the upstream that answered leaves")
+def holder_leaves(context):
+    number = context.holder.number
+    answer = send_heartbeat(context, number, 3, "deregister")
+    assert answer.status == 200
+
+
+@when("{seconds:g} s pass on all hosts")
+def time_passes_everywhere(context, seconds):
+    end = context.loop.time() + seconds
+    wait_until(context, lambda: context.loop.time() >= end, 2 * seconds)
 
 
 @when("{count:d} callers open flows through balancer 1")
