Let the watches of agents be stale

A call that allows stale data costs a tenth and does not count toward the rates.

Change: a follower may allow stale results. Balancers do so for the agents' records; the configuration, which has a bound of seconds, and every list stay current, as a list is part of the proof that a flow is lost. A reply with a lower revision than the known one is ignored.

Tests: follow.feature, two new scenarios; they need the new argument, so on the code before they end with an error.

--- a/crocusmux/daemons/follow.py
+++ b/crocusmux/daemons/follow.py
@@ -38,6 +38,7 @@
         deliver: Deliver,
         rng: random.Random,
         batch_delay_s: float = BATCH_DELAY_S,
+        allow_stale: bool = False,
     ) -> None:
         """Creates a follower; ``run`` makes the calls.
 
@@ -47,6 +48,8 @@
             deliver: Called with each batch of changes; must not raise.
             rng: Source of random numbers for jitter.
             batch_delay_s: Delay after a change until the next watch, seconds.
+            allow_stale: True if changes may be delivered some seconds late;
+                such watches cost less.  Lists are always current.
         """
         self.listed = False
         self._store = store
@@ -54,6 +57,7 @@
         self._deliver = deliver
         self._rng = rng
         self._batch_delay_s = batch_delay_s
+        self._allow_stale = allow_stale
         self._revision: int | None = None
         self._failures = 0
 
@@ -74,12 +78,16 @@
             self.listed = True
         else:
             changes = await self._store.watch(
-                self._kind, self._revision, WATCH_TIMEOUT_S
+                self._kind, self._revision, WATCH_TIMEOUT_S, self._allow_stale
             )
         if changes is None:
             logger.warning("event=history-gone kind=%s", self._kind)
             self._revision = None
             return
+        if self._revision is not None and changes.revision < self._revision:
+            # A stale reply; its objects may have changed again since.
+            await asyncio.sleep(self._batch_delay_s)
+            return
         self._revision = changes.revision
         if changes.full or changes.items or changes.removed:
             self._deliver(changes)
--- a/crocusmux/daemons/forward_balancer.py
+++ b/crocusmux/daemons/forward_balancer.py
@@ -76,7 +76,11 @@
         )
         self._segments = udp.UdpSocket(cfg.segments, receive)
         self._agent_follower = follow.Follower(
-            adapter.store, adapter.agent_kind, self._on_agent_changes, rng
+            adapter.store,
+            adapter.agent_kind,
+            self._on_agent_changes,
+            rng,
+            allow_stale=True,
         )
         self._config_follower = follow.Follower(
             adapter.store,
--- a/crocusmux/forwarding.py
+++ b/crocusmux/forwarding.py
@@ -91,9 +91,21 @@
         """Returns all objects of a kind."""
 
     async def watch(
-        self, kind: str, revision: int, wait_s: float
+        self,
+        kind: str,
+        revision: int,
+        wait_s: float,
+        allow_stale: bool = False,
     ) -> Changes | None:
-        """Waits up to ``wait_s`` seconds for changes after a revision.
+        """Waits for changes after a revision.
+
+        Args:
+            kind: Kind of the objects.
+            revision: Revision that the caller knows.
+            wait_s: Longest wait, seconds.
+            allow_stale: True if the changes may be some seconds old and the
+                revision of the result may be lower than ``revision``.  Such a
+                call costs a tenth and does not count toward the rate limit.
 
         Returns:
             None if the store has dropped the changes since that revision.
--- a/crocusmux/platform/store.py
+++ b/crocusmux/platform/store.py
@@ -71,10 +71,16 @@
             after = last
 
     async def watch(
-        self, kind: str, revision: int, wait_s: float
+        self,
+        kind: str,
+        revision: int,
+        wait_s: float,
+        allow_stale: bool = False,
     ) -> forwarding.Changes | None:
         """See ``forwarding.Store``."""
         query = f"?watch={revision}&wait_ms={round(wait_s * 1000)}"
+        if allow_stale:
+            query += "&allow_stale=1"
         timeout_s = wait_s + WATCH_GRACE_S
         answer = await self._call("GET", kind + query, timeout_s=timeout_s)
         if answer.status == calls.GONE:
--- a/features/follow.feature
+++ b/features/follow.feature
@@ -36,3 +36,20 @@
     When main changes 10 times in 1.5 s
     Then main is delivered at 11
     And the store was called at most 3 times
+
+  # Guards against agents that vanish or return by an old reply: a watch that
+  # may be stale is answered from a copy that lags.
+  Scenario: A reply older than what is known is ignored
+    Given a store with the object main at 5 that is followed and may be stale
+    When a watch is answered with main at 3
+    Then main at 3 is not delivered
+    When main changes to 6
+    Then main is delivered at 6
+    And 1 list was read
+
+  # Guards against the price of a call: watches of all balancers were the
+  # dearest calls of a large deployment.  A list is proof that a flow is lost, so
+  # it must be current.
+  Scenario: Watches may be stale, lists may not
+    Given a store with the object main at 1 that is followed and may be stale
+    Then the watch allows stale results
--- a/features/steps/follow_steps.py
+++ b/features/steps/follow_steps.py
@@ -21,6 +21,7 @@
         self.list_count = 0
         self.call_count = 0
         self.pending_watches = []
+        self.stale_allowed = False
 
     async def list(self, kind):
         del kind
@@ -30,8 +31,9 @@
             self.object.revision, (self.object,), full=True
         )
 
-    async def watch(self, kind, revision, wait_s):
+    async def watch(self, kind, revision, wait_s, allow_stale=False):
         del kind, wait_s
+        self.stale_allowed = allow_stale
         self._count()
         if revision != self.object.revision and not self.drops_changes:
             return forwarding.Changes(self.object.revision, (self.object,))
@@ -62,12 +64,29 @@
 
 
 @given("a store with the object main at 1 that is followed")
-def start_follower(context):
+def start_exact_follower(context):
+    start_follower(context, 1, allow_stale=False)
+
+
+@given(
+    "a store with the object main at {revision:d} that is followed and may be"
+    " stale"
+)
+def start_stale_follower(context, revision):
+    start_follower(context, revision, allow_stale=True)
+
+
+def start_follower(context, revision, allow_stale):
     context.loop = event_loop.PausedLoop()
     context.store = FakeStore()
+    context.store.change(revision)
     context.delivered = []
     follower = follow.Follower(
-        context.store, "config", context.delivered.append, random.Random(1)
+        context.store,
+        "config",
+        context.delivered.append,
+        random.Random(1),
+        allow_stale=allow_stale,
     )
     context.task = context.loop.create_task(follower.run())
     context.add_cleanup(stop_follower, context)
@@ -160,3 +179,21 @@
 @then("{count:d} list was read")
 def check_lists(context, count):
     assert context.store.list_count == count
+
+
+@when("a watch is answered with main at {revision:d}")
+def answer_stale(context, revision):
+    item = forwarding.StoredObject("main", revision, b"old")
+    context.store.end_watch(forwarding.Changes(revision, (item,)))
+    context.loop.advance_until(lambda: context.store.pending_watches, 0.1, 3.0)
+
+
+@then("main at {revision:d} is not delivered")
+def not_delivered(context, revision):
+    items = [item for batch in context.delivered for item in batch.items]
+    assert all(item.revision != revision for item in items), items
+
+
+@then("the watch allows stale results")
+def check_stale_allowed(context):
+    assert context.store.stale_allowed
