Count accepted flows as requests that are about to arrive

Cause: after a loss of power all balancers offer their waiting flows at the same moment (a thundering herd). A queue of two requests a slot is also more than a goal of five service times allows while upstreams are cold.

Change: an accepted flow counts until its first data, 0.1 s at most, and new flows are declined at one queued request a slot. Balancers keep the others and place them by urgency.

Tests: forward_agent.feature, two scenarios, both fail on the code before.

--- a/crocusmux/core/forward/agent.py
+++ b/crocusmux/core/forward/agent.py
@@ -28,8 +28,9 @@
 # started after the agent, which therefore knows all of its flows.
 FIRST_HEARTBEAT_SEQUENCE = 1
 # Requests queued for each slot at which new flows are declined.  Balancers
-# queue the flows instead and place urgent ones first.
-MAX_QUEUED_PER_SLOT = 2
+# queue the flows instead and place urgent ones first; with a longer queue here
+# every answer of an overloaded upstream is late.
+MAX_QUEUED_PER_SLOT = 1
 
 Outputs = list[outputs.Output]
 Address = tuple[str, int]
@@ -106,6 +107,7 @@
         if flow is None:
             flow = self._add_flow(now, seg.key, balancer)
             self._returned_at.pop(seg.key, None)
+            self.load.accept_flow(now, seg.key)
         flow.last_segment_at = now
         if self._unanswered_since is None and not flow.open:
             self._unanswered_since = now
@@ -122,7 +124,7 @@
         if self._silent_since is not None or self.lifecycle.overdue(now):
             return reports.DECLINED_SILENT
         slots = self.lifecycle.current.slots
-        if self.load.in_progress >= slots * (1 + MAX_QUEUED_PER_SLOT):
+        if self.load.committed(now) >= slots * (1 + MAX_QUEUED_PER_SLOT):
             return reports.DECLINED_OVERLOAD
         return ""
 
@@ -173,6 +175,8 @@
     def _track_request(
         self, now: float, seg: segments.Segment, flow: agent_flows.Flow
     ) -> None:
+        if seg.length or seg.final or seg.reset:
+            self.load.end_expectation(seg.key)
         if seg.final or seg.reset:
             flow.closing = True
         if seg.reset:
@@ -245,6 +249,7 @@
         if flow is None or (seg.opening and flow.open):
             return []
         del self._flows[seg.key]
+        self.load.end_expectation(seg.key)
         self._end_request(now, flow, answered=False)
         if seg.opening:
             reason = reports.DECLINED_BY_UPSTREAM
--- a/crocusmux/core/forward/upstream_load.py
+++ b/crocusmux/core/forward/upstream_load.py
@@ -6,6 +6,9 @@
 UNKNOWN_SERVICE_MS = 0.0
 # A request without an answer is no longer counted after this time.
 REQUEST_TIMEOUT_S = 10.0
+# Longest time for which an accepted flow counts as a request that is about to
+# arrive.  A caller sends its request one round trip after the SYN.
+FIRST_REQUEST_TIMEOUT_S = 0.1
 # Time constant of the moving average of requests in progress.
 MEAN_WINDOW_S = 0.3
 
@@ -22,14 +25,42 @@
         service_ms: Mean service time in milliseconds; 0 if unknown.
     """
 
-    __slots__ = ("_mean", "_updated_at", "in_progress", "service_ms")
+    __slots__ = (
+        "_accepted_at",
+        "_mean",
+        "_updated_at",
+        "in_progress",
+        "service_ms",
+    )
 
     def __init__(self) -> None:
+        # Time of acceptance of flows whose first request has not arrived.
+        self._accepted_at: dict[bytes, float] = {}
         self.in_progress = 0
         self.service_ms = UNKNOWN_SERVICE_MS
         self._mean = 0.0
         self._updated_at = 0.0
 
+    def accept_flow(self, now: float, key: bytes) -> None:
+        """Expects the first request of a flow."""
+        # Entries stay in the order of their times.
+        self._accepted_at.pop(key, None)
+        self._accepted_at[key] = now
+
+    def end_expectation(self, key: bytes) -> None:
+        """Expects no first request of a flow any more."""
+        self._accepted_at.pop(key, None)
+
+    def committed(self, now: float) -> int:
+        """Returns the requests in progress and those about to arrive."""
+        accepted_at = self._accepted_at
+        while accepted_at:
+            oldest = next(iter(accepted_at))
+            if now - accepted_at[oldest] < FIRST_REQUEST_TIMEOUT_S:
+                break
+            del accepted_at[oldest]
+        return self.in_progress + len(accepted_at)
+
     def begin(self, now: float) -> None:
         """Counts a new request."""
         self._update_mean(now)
--- a/features/forward_agent.feature
+++ b/features/forward_agent.feature
@@ -293,3 +293,25 @@
     And the upstream answers the opening with sequence 5000
     Then a query with acknowledgement 5001 is claimed
     And a query with acknowledgement 900000 is denied
+
+  # Guards against a thundering herd, as after a loss of power: balancers offer
+  # flows to an idle upstream at the same moment, and its agent counted requests
+  # only once they arrived.  Upstreams with 4 slots had up to 22 requests in
+  # progress, and every answer was late (further, trouble-1).
+  Scenario: Openings that arrive together are accepted up to the limit
+    Given an agent of rounds whose upstream is ready
+    When 20 openings arrive within 10 ms
+    Then 4 of them are accepted and the others declined as "overload"
+    When the requests of 3 accepted flows arrive and are answered
+    And 20 openings arrive within 10 ms
+    Then 3 of them are accepted and the others declined as "overload"
+
+  # Guards against an upstream that stays idle because callers that were accepted
+  # do not send a request.
+  Scenario: An accepted flow without a request takes no slot for long
+    Given an agent of rounds whose upstream is ready
+    When 20 openings arrive within 10 ms
+    Then 4 of them are accepted and the others declined as "overload"
+    When 0.11 s pass
+    And 20 openings arrive within 10 ms
+    Then 4 of them are accepted and the others declined as "overload"
--- a/features/steps/forward_agent_steps.py
+++ b/features/steps/forward_agent_steps.py
@@ -399,3 +399,32 @@
 @when("the same request is retransmitted")
 def retransmit_same_request(context):
     from_balancer(context, segment(context.key, length=100))
+
+
+@when("{count:d} openings arrive within 10 ms")
+def openings_arrive(context, count):
+    first_port = getattr(context, "next_port", 42_000)
+    context.next_port = first_port + count
+    context.accepted, context.declined = [], []
+    for port in range(first_port, first_port + count):
+        key = shared.flow_key(port)
+        context.now += 0.01 / count
+        from_balancer(context, segment(key, opening=True, ack=0))
+        if outputs_of(context, outputs.ToUpstream):
+            context.accepted.append(key)
+            from_upstream(context, segment(key, False, opening=True, seq=5000))
+        else:
+            context.declined += messages(context, reports.OpeningDeclined)
+
+
+@then('{count:d} of them are accepted and the others declined as "{reason}"')
+def check_accepted(context, count, reason):
+    assert len(context.accepted) == count, len(context.accepted)
+    assert [x.reason for x in context.declined] == [reason] * (20 - count)
+
+
+@when("the requests of {count:d} accepted flows arrive and are answered")
+def requests_answered(context, count):
+    for key in context.accepted[:count]:
+        from_balancer(context, segment(key, ack=5001, length=100))
+        from_upstream(context, segment(key, False, seq=5001, length=100))
