--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -1,8 +1,9 @@
-"""Capacity model: measured slopes, and the tables of docs/CAPACITY.md.
+"""Capacity model of the product's own interface.
 
-``--write`` stores the measurements in docs/capacity.json.  ``--page`` measures
-nothing and rewrites the tables of docs/CAPACITY.md from that file.  Figures on
-the page are slopes of memory, CPU time or bytes, times a count.
+Measured slopes, and the tables of docs/measurements/capacity-own-interface.md.
+``--write`` stores the measurements in the JSON file beside that page.  ``--page``
+measures nothing and rewrites the tables from that file.  Figures on the page
+are slopes of memory, CPU time or bytes, times a count.
 """
 
 from collections.abc import Callable, Sequence
@@ -14,8 +15,9 @@
 from bench import driver
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-STORED = ROOT / "docs" / "capacity.json"
-PAGE = ROOT / "docs" / "CAPACITY.md"
+FOLDER = ROOT / "docs" / "measurements"
+STORED = FOLDER / "capacity-own-interface.json"
+PAGE = FOLDER / "capacity-own-interface.md"
 COMMAND = "python -m bench.capacity --write"
 SEED = 1
 
@@ -74,7 +76,7 @@
 
 
 class Model:
-    """Slopes and figures of docs/capacity.json."""
+    """Slopes and figures of the stored measurements."""
 
     def __init__(self, stored: dict[str, Any]) -> None:
         self.slopes: dict[str, Any] = stored["slopes"]
@@ -690,7 +692,7 @@
 
 
 def load() -> dict[str, Any]:
-    """Reads docs/capacity.json."""
+    """Reads the stored measurements."""
     stored: dict[str, Any] = json.loads(STORED.read_text())
     return stored
 
@@ -740,7 +742,7 @@
         __doc__ or "",
         1,
         {
-            "write": "store the measured slopes in docs/capacity.json",
+            "write": "store the measured slopes beside the page",
             "page": "rewrite the tables of the page from the stored slopes",
         },
     )
--- a/bench/capacity_measure.py
+++ b/bench/capacity_measure.py
@@ -1,4 +1,4 @@
-"""Measurements for docs/CAPACITY.md, on the real cores and codecs.
+"""Measurements for the capacity page of the own interface, on the real cores.
 
 Memory is counted by tracemalloc and CPU time by the thread's clock, so other
 processes on the machine add nothing to them.  Message sizes are encoded sizes.
