Let no time pass for tests during calls in threads

Cause: the paused loop advances its clock after eight turns, which take some microseconds. Shown by a getaddrinfo that sleeps 50 ms: 7 of 23 scenarios failed, each with "Timeout while resolving 127.0.0.1" or without a byte sent.

Change: the loop counts calls in threads and goes on only when they have ended. The flood scenario waits for its first byte before it looks for a standstill.

--- a/features/loop.py
+++ b/features/loop.py
@@ -19,11 +19,16 @@
 
 
 class PausedLoop(asyncio.SelectorEventLoop):
-    """Loop whose clock moves only by ``advance``."""
+    """Loop whose clock moves only by ``advance``.
+
+    ``advance_until`` waits for calls in threads, such as name lookups, before
+    each step: they take real time, in which no timeout may pass.
+    """
 
     def __init__(self) -> None:
         super().__init__(_ShortSelector())
         self._paused_now = 1000.0
+        self._thread_calls = 0
 
     def time(self) -> float:
         return self._paused_now
@@ -32,6 +37,17 @@
         """Moves the clock forward by ``seconds``."""
         self._paused_now += seconds
 
+    def run_in_executor(self, executor: Any, func: Any, *args: Any) -> Any:
+        """Runs a call in a thread, and counts it until it has ended."""
+        self._thread_calls += 1
+        fut = super().run_in_executor(executor, func, *args)
+        fut.add_done_callback(self._on_thread_call_done)
+        return fut
+
+    def _on_thread_call_done(self, fut: asyncio.Future) -> None:
+        del fut
+        self._thread_calls -= 1
+
     def settle(self, condition: Callable[[], Any]) -> Any:
         """Runs loop iterations until ``condition()`` is true, without moving the clock."""
         return self.run_until_complete(self._settle(condition))
@@ -41,7 +57,7 @@
             value = condition()
             if value:
                 return value
-            await self.run_iteration()
+            await self._run_iterations(1)
         raise AssertionError("condition not met with the clock paused")
 
     async def run_iteration(self) -> None:
@@ -66,6 +82,8 @@
     async def _run_iterations(self, count: int) -> None:
         for _ in range(count):
             await self.run_iteration()
+        while self._thread_calls:
+            await self.run_iteration()
 
 
 def run(loop: PausedLoop, awaitable: Awaitable) -> Any:
--- a/features/steps/library_flow_steps.py
+++ b/features/steps/library_flow_steps.py
@@ -348,6 +348,7 @@
         await asyncio.Event().wait()
 
     site.loop.create_task(write())
+    site.loop.settle(lambda: site.sent)
     last, still = 0, 0
     while still < 500:  # turns of the loop
         site.run(site.loop.run_iteration())
