Mend four faults of the packet path that were left open

Cause: (1) an agent counted the request of a probed flow for ever if its upstream reset the flow, or if a full table dropped it, so the upstream seemed ever more loaded; (2) the agent told boots apart by their start time alone, and stayed uncertain of flows after another upstream with the same time took over; (3) a starting balancer asked no peer for the agents once the store had given it the configuration, and never got ready while lists of agents failed.

Change: such requests end with their flow; a boot is id and start time; peers are asked until the store has listed both kinds.

--- a/crocusmux/core/forward/agent.py
+++ b/crocusmux/core/forward/agent.py
@@ -167,7 +167,8 @@
         self, now: float, key: bytes, balancer: Address
     ) -> agent_flows.Flow:
         if len(self._flows) >= MAX_FLOWS:
-            del self._flows[next(iter(self._flows))]
+            oldest = next(iter(self._flows))
+            self._end_request(now, self._flows.pop(oldest), answered=False)
         flow = agent_flows.Flow(now, balancer)
         self._flows[key] = flow
         return flow
@@ -265,6 +266,7 @@
     ) -> Outputs:
         """Declines an opening, or denies a flow that seemed open."""
         self._flows.pop(key, None)
+        self._end_request(now, flow, answered=False)
         if not flow.open and not flow.probing:
             reason = reports.DECLINED_BY_UPSTREAM
             return [self._make_decline(key, flow.balancer, reason)]
@@ -287,7 +289,7 @@
             detail = f"upstream={beat.upstream} sequence={beat.sequence}"
             return [outputs.Event("heartbeat-late", b"", detail, True)]
         sent = self._end_silence(now)
-        if before is None or before.born_ms != beat.born_ms:
+        if before is None or not heartbeats.same_boot(before, beat):
             # A new boot holds none of the flows of the previous one.
             first = beat.sequence <= FIRST_HEARTBEAT_SEQUENCE
             self._knows_all_flows = before is not None or first
--- a/crocusmux/core/forward/heartbeats.py
+++ b/crocusmux/core/forward/heartbeats.py
@@ -85,7 +85,7 @@
         if known is not None and not self._replaces(now, known, beat):
             return False
         self._candidate = None
-        if known is None or _boot(known) != _boot(beat):
+        if known is None or not same_boot(known, beat):
             self.deregistered = False
         self.current = beat
         self.heartbeat_at = now
@@ -94,7 +94,7 @@
     def acknowledges(self, beat: Heartbeat) -> bool:
         """Returns True if ``beat``, or a newer one of its boot, was applied."""
         known = self.current
-        if known is None or _boot(known) != _boot(beat):
+        if known is None or not same_boot(known, beat):
             return False
         return known.draining or not beat.draining
 
@@ -114,7 +114,7 @@
         )
 
     def _replaces(self, now: float, known: Heartbeat, beat: Heartbeat) -> bool:
-        if _boot(known) == _boot(beat):
+        if same_boot(known, beat):
             # A boot never returns from draining to ready.
             if known.draining and not beat.draining:
                 return False
@@ -125,10 +125,11 @@
         self._candidate = beat
         return (
             previous is not None
-            and _boot(previous) == _boot(beat)
+            and same_boot(previous, beat)
             and beat.sequence > previous.sequence
         )
 
 
-def _boot(beat: Heartbeat) -> tuple[str, int]:
-    return beat.upstream, beat.born_ms
+def same_boot(first: Heartbeat, second: Heartbeat) -> bool:
+    """Returns True if two heartbeats are of the same boot."""
+    return first.upstream == second.upstream and first.born_ms == second.born_ms
--- a/crocusmux/daemons/forward_balancer.py
+++ b/crocusmux/daemons/forward_balancer.py
@@ -198,15 +198,16 @@
 
     async def _seed_from_peers(self) -> None:
         """Fetches the state of peers until the store has answered."""
-        while not (
-            self._config_follower.listed and self._agent_follower.listed
-        ):
+        while not self._store_answered():
             await asyncio.sleep(SEED_INTERVAL_S)
             for ip, port in self._cfg.seeds:
                 source = f"{ip}:{port}"
-                if self._config_follower.listed or source == self._own_source:
-                    continue
-                await self._fetch_state(source)
+                if source != self._own_source and not self._store_answered():
+                    await self._fetch_state(source)
+
+    def _store_answered(self) -> bool:
+        """Returns True once both kinds of objects have been listed."""
+        return self._config_follower.listed and self._agent_follower.listed
 
     async def _fetch_state(self, source: str) -> None:
         response = await self._fetch_http(
--- a/features/forward_agent.feature
+++ b/features/forward_agent.feature
@@ -251,6 +251,29 @@
     Then the caller gets nothing
     And the balancer gets a denial of the flow
 
+  # Guards against an upstream that seems ever more loaded: a request in a probe
+  # was counted for ever if the upstream reset the flow.
+  Scenario: A request in a probe that the upstream resets is no longer counted
+    Given an agent of rounds that first heard its upstream at sequence 7
+    When a balancer probes for a flow that the agent does not know
+    And the upstream resets that flow
+    Then no request is in progress
+
+  # Guards against the same leak where a full table drops its oldest flow.
+  Scenario: The request of a flow that a full table drops is no longer counted
+    Given an agent of rounds that first heard its upstream at sequence 7
+    When a balancer probes for a flow that the agent does not know
+    And more probed flows without data than the agent's table holds follow
+    Then no request is in progress
+
+  # Guards against an agent that treats another upstream as the one before, and
+  # so stays uncertain of flows that the new one cannot hold.
+  Scenario: Another upstream with the same start time is a new boot
+    Given an agent of rounds that first heard its upstream at sequence 7
+    When another upstream with the same start time reports twice
+    And a balancer probes for a flow that the agent does not know
+    Then the balancer gets a denial of the flow
+
   # Guards against fault FLOW (a): another agent got a duplicate of the opening.
   Scenario: A reset of a flow that is not open counts as a decline
     Given an agent of rounds whose upstream is ready
--- a/features/forward_path.feature
+++ b/features/forward_path.feature
@@ -40,6 +40,14 @@
     When a caller opens a flow through balancer 3
     Then the caller gets a SYN+ACK
 
+  # Guards against a balancer that never gets ready: it asked no peer for agents
+  # once it had the configuration.
+  Scenario: A balancer gets the agents from its peers if the store fails later
+    Given a store with a route to rounds, 2 balancers and 2 agents of rounds
+    When the store rejects all calls about agents
+    And balancer 3 starts with balancer 1 as its seed
+    Then balancer 3 is ready within 3 s
+
   # Guards against flows lost by a restart of an agent.
   Scenario: An open flow survives a restart of its agent
     Given a store with a route to rounds, 2 balancers and 2 agents of rounds
--- a/features/steps/forward_agent_steps.py
+++ b/features/steps/forward_agent_steps.py
@@ -137,6 +137,21 @@
     from_upstream(context, segment(context.key, False, reset=True))
 
 
+@when("more probed flows without data than the agent's table holds follow")
+def fill_table(context):
+    for number in range(agent.MAX_FLOWS):
+        key = context.key[:-4] + number.to_bytes(4, "big")
+        from_balancer(context, segment(key, mark=segments.MARK_PROBE))
+
+
+@when("another upstream with the same start time reports twice")
+def other_upstream_reports(context):
+    for sequence in (1, 2):
+        beat = heartbeats_steps.heartbeat(BORN_MS, sequence)
+        beat = msgspec.structs.replace(beat, upstream="i-2")
+        context.core.on_heartbeat(context.now, beat)
+
+
 @then("the caller gets nothing")
 def caller_gets_nothing(context):
     assert not outputs_of(context, outputs.ToCaller)
--- a/features/steps/forward_path_steps.py
+++ b/features/steps/forward_path_steps.py
@@ -342,6 +342,12 @@
     wait_until(context, lambda: core.routes.version == 2, seconds)
 
 
+@when("the store rejects all calls about agents")
+def reject_agent_calls(context):
+    daemon = context.daemons["balancer", 1]
+    context.standin.rejected_kinds.add(daemon._adapter.agent_kind)
+
+
 @when("the store answers all calls with {status:d}")
 def store_fails(context, status):
     context.standin.forced_status = status
--- a/features/store_standin.py
+++ b/features/store_standin.py
@@ -19,6 +19,7 @@
         forced_status: HTTP status that rejects all requests; 0 for none.
         lost_responses: Number of next writes that are applied unanswered.
         rejected_ips: Client addresses that are rejected with status 503.
+        rejected_kinds: Kinds whose requests are rejected with status 503.
         oldest_revision: First revision whose change is still in the history.
     """
 
@@ -28,6 +29,7 @@
         self.lost_responses = 0
         self.oldest_revision = 0
         self.rejected_ips = set()
+        self.rejected_kinds = set()
         self.revision = 10
         self.objects = {}
         self.history = []
@@ -77,6 +79,8 @@
             return self.respond(req, 503)
         kind, _, name = req.path.removeprefix(OBJECTS).partition("/")
         name = urllib.parse.unquote(name)
+        if kind in self.rejected_kinds:
+            return self.respond(req, 503)
         if req.method == "GET" and "watch" in req.query_arguments:
             return self.watch_objects(req, kind)
         if req.method == "GET":
