Test that a dead agent gets few new flows at any size

A balancer avoids an agent once the caller of a swallowed opening retransmits it, so the time does not depend on the reports.

Measured: forward_balancer.feature, 30, 300 and 1,000 agents that report every 4 s, 500 to 16,000 flows in 10 s: no flow later than 1 s after the first one.

--- a/features/forward_balancer.feature
+++ b/features/forward_balancer.feature
@@ -255,6 +255,19 @@
       | 100   |
       | 136   |
 
+  # Guards against a death that is noticed later in a larger fleet, where agents
+  # report less often: callers wait for nothing until they retransmit.
+  Scenario Outline: A dead agent gets few new flows in a fleet of any size
+    Given a balancer with <count> agents of rounds in 4 failure domains
+    When one of them dies and <flows> flows are placed in 10 s
+    Then it gets no new flow later than 1 s after the first one
+
+    Examples:
+      | count | flows |
+      | 30    | 500   |
+      | 300   | 4000  |
+      | 1000  | 16000 |
+
   # Guards against lookups that start over while the list of agents is read:
   # after a loss of power 90 percent of them took 6 s (grown Lima, trouble-2).
   Scenario: The denials of two searches hold until the list has been read
--- a/features/steps/forward_balancer_steps.py
+++ b/features/steps/forward_balancer_steps.py
@@ -23,6 +23,8 @@
 RESET_WINDOW = 76_800
 FAILURE_DOMAINS = ("abay", "enbek", "karatau", "turan")
 BALANCER_ADDRESS = ("10.0.0.9", 7720)
+# A caller's first retransmission of its SYN (source: the platform's protocol).
+SYN_RETRANSMIT_S = 0.2
 CALLER = b"\x64\x40\x00\x07"
 
 
@@ -931,6 +933,40 @@
     context.rate = context.report_count / seconds
 
 
+@when("one of them dies and {count:d} flows are placed in 10 s")
+def place_beside_dead(context, count):
+    core = context.core
+    dead, *alive = context.hosts
+    # With this interval, silence alone shows the death after 7 s.
+    report_all(context, context.hosts, interval_s=4.0)
+    dead_address = core.agent_table.get(dead).record.address
+    context.swallowed_at, retransmissions = [], collections.deque()
+
+    def send(seg):
+        # The caller retransmits only if the dead agent got its SYN.
+        for offer in offers(core.on_segment(context.now, seg)):
+            if offer.to == dead_address:
+                context.swallowed_at.append(context.now)
+                retransmissions.append((context.now + SYN_RETRANSMIT_S, seg))
+
+    for number in range(count):
+        context.now += 10.0 / count
+        while retransmissions and retransmissions[0][0] <= context.now:
+            seg = retransmissions.popleft()[1]
+            outs = core.on_segment(context.now, seg)
+            assert [x.to for x in offers(outs)] != [dead_address]
+        if number % (count // 10) == 0:
+            report_all(context, alive, interval_s=4.0)
+        key = CALLER[:2] + number.to_bytes(4, "big") + flow_key(0)[6:]
+        send(segment(key, opening=True))
+
+
+@then("it gets no new flow later than {limit:g} s after the first one")
+def check_swallowed(context, limit):
+    first, last = context.swallowed_at[0], context.swallowed_at[-1]
+    assert last - first <= limit, last - first
+
+
 @then(
     "the news of the chosen upstreams was {median:g} s old in the median and"
     " {limit:g} s at most in 99 of 100"
