--- a/features/steps/bad_input_steps.py
+++ b/features/steps/bad_input_steps.py
@@ -18,7 +18,7 @@
 from crocusmux.platform import host_settings
 from crocusmux.platform import packets
 from crocusmux.platform import upstream_calls
-from features.steps import forward_balancer_steps as shared
+from features import balancer_sample
 from features.steps import heartbeats_steps
 
 HEARTBEAT = {
@@ -67,7 +67,9 @@
     strategies.dictionaries(strategies.text(max_size=3), strategies.none()),
 )
 SMALL = strategies.integers(0, 3)
-KEYS = strategies.integers(0, 4).map(lambda n: shared.flow_key(40_000 + n))
+KEYS = strategies.integers(0, 4).map(
+    lambda n: balancer_sample.flow_key(40_000 + n)
+)
 SEQUENCES = strategies.sampled_from([0, 1, 5001, 2**31, 2**32 - 1])
 HOSTS = strategies.sampled_from(["a", "b", "c", "x"])
 
@@ -121,7 +123,7 @@
     " or raise WireError"
 )
 def check_datagrams(context, count):
-    valid = packets.encode_reset(shared.flow_key(1), 7) + b"data"
+    valid = packets.encode_reset(balancer_sample.flow_key(1), 7) + b"data"
 
     def change(position, value):
         return valid[:position] + bytes([value]) + valid[position + 1 :]
@@ -173,7 +175,11 @@
         except errors.ObjectError:
             return
         core = balancer.ForwardingBalancer(
-            "edge-1", "abay", shared.BALANCER_ADDRESS, "", random.Random(1)
+            "edge-1",
+            "abay",
+            balancer_sample.BALANCER_ADDRESS,
+            "",
+            random.Random(1),
         )
         core.configure(cfg)
 
@@ -253,7 +259,7 @@
 
     @generate(count, strategies.lists(step, max_size=60))
     def check(steps):
-        shared.balancer_with_agents(context)
+        balancer_sample.start_with_agents(context)
         core, now = context.core, context.now
         for event in steps:
             if isinstance(event, segments.Segment):
@@ -288,11 +294,13 @@
                 now += event
                 core.on_timer(now)
             elif isinstance(event, reports.FlowQuery):
-                core.on_flow_query(now, event, shared.BALANCER_ADDRESS)
+                core.on_flow_query(now, event, balancer_sample.BALANCER_ADDRESS)
             elif not isinstance(event, segments.Segment):
                 core.on_heartbeat(now, event)
             elif event.from_caller and not event.returned:
-                core.on_caller_segment(now, event, shared.BALANCER_ADDRESS)
+                core.on_caller_segment(
+                    now, event, balancer_sample.BALANCER_ADDRESS
+                )
             else:
                 core.on_upstream_segment(now, event)
             assert core.load.in_progress >= 0
@@ -327,7 +335,7 @@
 )
 def check_address(context, address):
     bad = json.loads(address)
-    record = shared.record("a", "rounds", "10.0.0.1")
+    record = balancer_sample.record("a", "rounds", "10.0.0.1")
     for changed in ({"address": bad}, {"control": bad}):
         fields = {**msgspec.to_builtins(record), **changed}
         expect_decode_error(json.dumps(fields), upstreams.AgentRecord)
--- a/features/steps/forward_agent_steps.py
+++ b/features/steps/forward_agent_steps.py
@@ -8,7 +8,7 @@
 from crocusmux.core.forward import reports
 from crocusmux.core.forward import segments
 from crocusmux.core.forward import upstreams
-from features.steps import forward_balancer_steps as shared
+from features import balancer_sample
 from features.steps import heartbeats_steps
 
 BALANCER = ("10.0.0.9", 7720)
@@ -64,7 +64,7 @@
 def new_agent(context):
     context.now = 100.0
     context.core = agent.ForwardingAgent("side-1", "rounds", 7, 1.2)
-    context.key = shared.flow_key(40001)
+    context.key = balancer_sample.flow_key(40001)
     context.outs = []
     context.core.on_subscribe(
         context.now, reports.Subscribe("edge-1", BALANCER, 5, "", 10.0, 0.25)
@@ -89,7 +89,7 @@
 
 @given("an open flow")
 def one_open_flow(context):
-    context.open_key = shared.flow_key(50001)
+    context.open_key = balancer_sample.flow_key(50001)
     open_flow(context, context.open_key)
 
 
@@ -220,7 +220,7 @@
 
 @when("{count:d} flows with a request each are open")
 def open_requests(context, count):
-    context.keys = [shared.flow_key(42000 + n) for n in range(count)]
+    context.keys = [balancer_sample.flow_key(42000 + n) for n in range(count)]
     for key in context.keys:
         open_flow(context, key)
         from_balancer(context, segment(key, length=100))
@@ -297,7 +297,7 @@
 def reset_near(context, ack):
     (reset,) = outputs_of(context, outputs.Reset)
     assert reset.key == context.open_key
-    assert abs(reset.seq - ack) < shared.RESET_WINDOW
+    assert abs(reset.seq - ack) < balancer_sample.RESET_WINDOW
 
 
 @then("the caller of the open flow gets a reset")
@@ -378,7 +378,7 @@
 
 @when("{count:d} flows with unfinished uploads are open")
 def open_uploads(context, count):
-    context.keys = [shared.flow_key(42000 + n) for n in range(count)]
+    context.keys = [balancer_sample.flow_key(42000 + n) for n in range(count)]
     for key in context.keys:
         open_flow(context, key)
         for number in range(3):
@@ -402,7 +402,7 @@
 
 @when("a balancer sends another opening")
 def send_another_opening(context):
-    context.key = shared.flow_key(40009)
+    context.key = balancer_sample.flow_key(40009)
     send_opening(context)
 
 
@@ -422,7 +422,7 @@
     context.next_port = first_port + count
     context.accepted, context.declined = [], []
     for port in range(first_port, first_port + count):
-        key = shared.flow_key(port)
+        key = balancer_sample.flow_key(port)
         context.now += 0.01 / count
         from_balancer(context, segment(key, opening=True, ack=0))
         if outputs_of(context, outputs.ToUpstream):
