Let the control bench start with all subscriptions in place

Cause: the bench spread the first subscriptions to an agent over its whole run at 1,200 agents, and its long functions took bare tuples.

Change: all balancers are subscribed before the count begins; the size of a deployment is a type, and set-up is apart from measuring.

--- a/bench/control_traffic.py
+++ b/bench/control_traffic.py
@@ -25,9 +25,7 @@
 from crocusmux.core.forward import report_schedule
 from crocusmux.core.forward import reports
 
-# Balancers, agents and failure domains.
-FLEETS = ((9, 21, 5), (30, 70, 5), (91, 213, 5), (100, 1_200, 4))
-QUICK_FLEETS = (FLEETS[0], FLEETS[-1])
+SERVICE = "wheelbook"
 MAX_BYTES_PER_S = 7_000
 MAX_CORE_PERCENT = 2.3
 DURATION_S = 120.0
@@ -35,6 +33,30 @@
 HEARTBEAT_S = 1.2
 
 _encode = msgspec.msgpack.Encoder().encode
+_decode = msgspec.msgpack.Decoder(reports.Message).decode
+
+
+class Fleet(msgspec.Struct, frozen=True):
+    """Size of a deployment.
+
+    Attributes:
+        balancers: Number of balancers.
+        agents: Number of agents, all of one service.
+        domains: Number of failure domains.
+    """
+
+    balancers: int
+    agents: int
+    domains: int
+
+
+FLEETS = (
+    Fleet(9, 21, 5),
+    Fleet(30, 70, 5),
+    Fleet(91, 213, 5),
+    Fleet(100, 1_200, 4),
+)
+QUICK_FLEETS = (FLEETS[0], FLEETS[-1])
 
 
 class Figures(msgspec.Struct):
@@ -42,7 +64,7 @@
 
     Attributes:
         role: Role of the daemon.
-        fleet: Balancers, agents and failure domains.
+        fleet: Size of the deployment.
         bytes_per_s: Control traffic, sent and received, bytes a second.
         core_percent: CPU time, percent of a core.
         local_report_s: Interval of reports in the own failure domain, seconds.
@@ -50,7 +72,7 @@
     """
 
     role: str
-    fleet: tuple[int, int, int]
+    fleet: Fleet
     bytes_per_s: float
     core_percent: float
     local_report_s: float
@@ -80,47 +102,54 @@
 
 def make_report(number: int, sequence: int, interval_s: float) -> bytes:
     """Returns the encoded report of an agent."""
-    report = reports.LoadReport(
-        f"side-karatau-{number}",
-        "wheelbook",
-        2**32 - 1,
-        sequence,
-        True,
-        2,
-        1.25,
-        120,
-        32.0,
-        interval_s,
-        1_000,
-        "",
+    return _encode(
+        reports.LoadReport(
+            host=f"side-karatau-{number}",
+            service=SERVICE,
+            incarnation=2**32 - 1,
+            sequence=sequence,
+            accepting=True,
+            slots=2,
+            in_progress=1.25,
+            flows=120,
+            service_ms=32.0,
+            interval_s=interval_s,
+            config_version=1_000,
+            config_source="",
+        )
     )
-    return _encode(report)
 
 
 def make_subscription(number: int, interval_s: float) -> reports.Subscribe:
     """Returns a balancer's subscription to the reports of an agent."""
     ip = f"10.120.{number // 250}.{number % 250}"
     return reports.Subscribe(
-        f"edge-karatau-{number}",
-        (ip, 7720),
-        1_000,
-        f"{ip}:8166",
-        2 * DURATION_S,
-        interval_s,
+        balancer=f"edge-karatau-{number}",
+        address=(ip, 7720),
+        config_version=1_000,
+        config_source=f"{ip}:8166",
+        valid_s=2 * DURATION_S,
+        interval_s=interval_s,
     )
 
 
-def intervals_s(fleet: tuple[int, int, int]) -> tuple[float, float]:
-    """Returns the report intervals that a balancer of a fleet asks for."""
-    _, agents, domains = fleet
-    local = agents // domains
-    return report_schedule.report_intervals_s(local, agents - local)
+def intervals_s(fleet: Fleet) -> tuple[float, float]:
+    """Returns the intervals of local and of remote reports to a balancer."""
+    local = fleet.agents // fleet.domains
+    return report_schedule.report_intervals_s(local, fleet.agents - local)
 
 
-def measure_balancer(fleet: tuple[int, int, int]) -> Figures:
-    """Measures a balancer whose agents report as it asks."""
-    _, agents, domains = fleet
+def interval_s(number: int, fleet: Fleet) -> float:
+    """Returns the report interval between daemon 0 and a numbered one.
+
+    Daemon 0 stands for the balancer or the agent that is measured.
+    """
     local_s, remote_s = intervals_s(fleet)
+    return remote_s if number % fleet.domains else local_s
+
+
+def make_balancer(fleet: Fleet) -> balancer.ForwardingBalancer:
+    """Returns a balancer that has a report of each agent of a fleet."""
     core = balancer.ForwardingBalancer(
         "edge-karatau-1",
         "d0",
@@ -128,84 +157,88 @@
         "10.120.0.1:8166",
         random.Random(1),
     )
-    decode = msgspec.msgpack.Decoder(reports.Message).decode
-    rng = random.Random(2)
-    next_report_at = []
-    for number in range(agents):
+    for number in range(fleet.agents):
         record = msgspec.structs.replace(
             scale.make_record(number),
             host=f"side-karatau-{number}",
-            service="wheelbook",
-            failure_domain=f"d{number % domains}",
+            service=SERVICE,
+            failure_domain=f"d{number % fleet.domains}",
         )
         core.add_agent(0.0, record)
-        interval_s = remote_s if number % domains else local_s
-        core.on_message(0.0, decode(make_report(number, 1, interval_s)))
-        next_report_at.append(rng.random() * interval_s)
-    traffic = Traffic()
+        report = make_report(number, 1, interval_s(number, fleet))
+        core.on_message(0.0, _decode(report))
     core.on_timer(0.0)
+    return core
+
+
+def measure_balancer(fleet: Fleet) -> Figures:
+    """Measures a balancer whose agents report as it asks."""
+    core = make_balancer(fleet)
+    intervals = [interval_s(number, fleet) for number in range(fleet.agents)]
+    rng = random.Random(2)
+    next_report_at = [rng.random() * interval for interval in intervals]
+    traffic = Traffic()
     for step in range(1, round(DURATION_S / balancer.TIMER_INTERVAL_S)):
         now = step * balancer.TIMER_INTERVAL_S
         received = []
-        for number in range(agents):
+        for number, interval in enumerate(intervals):
             if next_report_at[number] <= now:
-                interval_s = remote_s if number % domains else local_s
-                next_report_at[number] += interval_s
-                received.append(make_report(number, step + 1, interval_s))
+                next_report_at[number] += interval
+                received.append(make_report(number, step + 1, interval))
         began_at = time.process_time_ns()
         for data in received:
             traffic.add_datagram(data)
-            core.on_message(now, decode(data))
+            core.on_message(now, _decode(data))
         traffic.add_sent(core.on_timer(now))
         traffic.cpu_ns += time.process_time_ns() - began_at
     return make_figures("balancer", fleet, traffic)
 
 
-def measure_agent(fleet: tuple[int, int, int]) -> Figures:
-    """Measures an agent to whose reports all balancers subscribe."""
-    balancers, agents, domains = fleet
-    local_s, remote_s = intervals_s(fleet)
-    core = agent.ForwardingAgent("side-karatau-1", "wheelbook", 1, HEARTBEAT_S)
+def make_agent(fleet: Fleet) -> agent.ForwardingAgent:
+    """Returns an agent to whose reports all balancers of a fleet subscribe."""
+    core = agent.ForwardingAgent("side-karatau-1", SERVICE, 1, HEARTBEAT_S)
     beat = heartbeats.Heartbeat(
         upstream="i-1",
         born_ms=1,
         sequence=1,
-        service="wheelbook",
+        service=SERVICE,
         address=("10.0.1.1", 8080),
         slots=2,
         draining=False,
         warmup_s=0.0,
     )
     core.on_heartbeat(0.0, beat)
-    traffic = Traffic()
-    # A balancer renews its subscription in this interval.
-    renew_s = max(
+    for number in range(fleet.balancers):
+        message = make_subscription(number, interval_s(number, fleet))
+        core.on_subscribe(0.0, message)
+    return core
+
+
+def measure_agent(fleet: Fleet) -> Figures:
+    """Measures an agent whose balancers renew their subscriptions."""
+    core = make_agent(fleet)
+    renewal_s = max(
         balancer.SUBSCRIBE_INTERVAL_S,
-        agents / balancer.MAX_SUBSCRIPTIONS_PER_S,
+        fleet.agents / balancer.MAX_SUBSCRIPTIONS_PER_S,
     )
     rng = random.Random(2)
-    next_renewal_at = [0.0] * balancers
+    next_renewal_at = [rng.random() * renewal_s for _ in range(fleet.balancers)]
+    traffic = Traffic()
     for step in range(1, round(DURATION_S / agent.TIMER_INTERVAL_S)):
         now = step * agent.TIMER_INTERVAL_S
-        due = [x for x in range(balancers) if next_renewal_at[x] <= now]
         began_at = time.process_time_ns()
-        for number in due:
-            interval_s = remote_s if number % domains else local_s
-            message = make_subscription(number, interval_s)
-            traffic.add_datagram(_encode(message))
-            traffic.add_sent(core.on_subscribe(now, message))
-            first = next_renewal_at[number] == 0.0
-            next_renewal_at[number] = now + renew_s * (
-                rng.random() if first else 1.0
-            )
+        for number, due_at in enumerate(next_renewal_at):
+            if due_at <= now:
+                next_renewal_at[number] += renewal_s
+                message = make_subscription(number, interval_s(number, fleet))
+                traffic.add_datagram(_encode(message))
+                traffic.add_sent(core.on_subscribe(now, message))
         traffic.add_sent(core.on_timer(now))
         traffic.cpu_ns += time.process_time_ns() - began_at
     return make_figures("agent", fleet, traffic)
 
 
-def make_figures(
-    role: str, fleet: tuple[int, int, int], traffic: Traffic
-) -> Figures:
+def make_figures(role: str, fleet: Fleet, traffic: Traffic) -> Figures:
     """Returns the figures of a daemon from what was counted."""
     return Figures(
         role,
@@ -220,7 +253,7 @@
     """Returns a line for each bound that the figures exceed."""
     lines = []
     for row in rows:
-        where = f"{row.role}, {row.fleet[0]} and {row.fleet[1]} daemons"
+        where = f"{row.role}, {row.fleet.balancers} balancers, {row.fleet.agents} agents"
         if row.bytes_per_s > MAX_BYTES_PER_S:
             lines.append(
                 f"{where}: {row.bytes_per_s:.0f} B/s, bound {MAX_BYTES_PER_S}"
@@ -256,7 +289,7 @@
     )
     for row in rows:
         print(
-            f"{row.role:10}{row.fleet[0]:10}{row.fleet[1]:8}"
+            f"{row.role:10}{row.fleet.balancers:10}{row.fleet.agents:8}"
             f"{row.bytes_per_s:8.0f}{row.core_percent:8.2f}"
             f"{row.local_report_s:8.2f}{row.remote_report_s:9.2f}"
         )
