Announce a restarted agent with one call to the store

Cause: each agent created its record and, as it exists after a restart, replaced it with a second call; after a loss of power all agents do so.

Change: the settings say whether the whole deployment starts for the first time. If not, the agent replaces the record first and creates it only if there is none.

--- a/crocusmux/daemons/forward_agent.py
+++ b/crocusmux/daemons/forward_agent.py
@@ -177,12 +177,22 @@
                 return
 
     async def _write_record(self, spec: bytes) -> None:
+        """Creates or replaces the record, by the call that likely succeeds.
+
+        A restarted agent replaces the record that it finds: the host keeps its
+        addresses, but its service may have changed.
+        """
         store, kind = self._adapter.store, self._adapter.agent_kind
+        if not self._cfg.first_start:
+            try:
+                await store.replace(kind, self._cfg.host, spec)
+            except errors.NotFoundError:
+                logger.info("event=no-record outcome=create")
+            else:
+                return
         try:
             await store.create(kind, self._cfg.host, spec)
         except errors.ConflictError:
-            # An earlier agent of the host left the object; the host keeps its
-            # addresses, but its service may have changed.
             await store.replace(kind, self._cfg.host, spec)
 
     async def _withdraw(self) -> None:
--- a/crocusmux/forwarding.py
+++ b/crocusmux/forwarding.py
@@ -31,6 +31,8 @@
         store: Address of the object store.
         heartbeat_s: Interval of the upstream's heartbeats, seconds.
         grace_s: Time between SIGTERM and SIGKILL, seconds.
+        first_start: True if the whole deployment starts for the first time, so
+            that the store has no records yet.
         service: Service of the upstream beside an agent.
         upstream: Address of that upstream for segments.
         outbound: Address of the agent to which that upstream sends segments.
@@ -49,6 +51,7 @@
     store: Address
     heartbeat_s: float
     grace_s: float
+    first_start: bool = False
     service: str = ""
     upstream: Address = ("", 0)
     outbound: Address = ("", 0)
--- a/crocusmux/platform/host_settings.py
+++ b/crocusmux/platform/host_settings.py
@@ -44,6 +44,8 @@
     seeds: list[str] = []
     heartbeat_ms: float = 1000.0
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    # True only when the whole system starts for the first time.
+    bootstrap: bool = False
     service: str = ""
     app: str = ""
 
@@ -94,6 +96,7 @@
         store=addresses.split(fields.platform.address),
         heartbeat_s=fields.heartbeat_ms / 1000,
         grace_s=fields.bounds.grace_s,
+        first_start=fields.bootstrap,
         service=fields.service,
         upstream=addresses.split(fields.app) if agent else ("", 0),
         outbound=addresses.split(listen.outbound) if agent else ("", 0),
--- a/features/forward_path.feature
+++ b/features/forward_path.feature
@@ -58,6 +58,24 @@
     Then the upstream that answered gets it once and the other one nothing
     And the caller gets the answer
 
+  # Guards against two calls to the store by each agent after a loss of power: a
+  # restarted agent created its record, which exists, and then replaced it.
+  Scenario: An agent announces itself with one call at its first and later starts
+    Given a store with a route to rounds, 2 balancers and 2 agents of rounds
+    Then the agents have written to the store 2 times
+    When the agent of host 1 is replaced by a new one
+    And 0.5 s pass on all hosts
+    Then the agents have written to the store 3 times
+    And the store lists 2 agents
+
+  # Guards against an agent that is never found: its host was added later, so it
+  # has no record although the platform has been running for long.
+  Scenario: An agent that starts later without a record creates one
+    Given a store with a route to rounds, 2 balancers and 2 agents of rounds
+    When the record of host 1 is deleted and its agent is replaced by a new one
+    And 0.5 s pass on all hosts
+    Then the store lists 2 agents
+
   # Guards against a stop that leaves the announcement or goes unnoticed.
   Scenario: An agent whose upstream has left withdraws and gets no new flows
     Given a store with a route to rounds, 2 balancers and 2 agents of rounds
--- a/features/steps/forward_path_steps.py
+++ b/features/steps/forward_path_steps.py
@@ -107,6 +107,7 @@
         store=context.standin.address,
         heartbeat_s=1.2,
         grace_s=6.0,
+        first_start=getattr(context, "first_start", True),
         service="rounds" if role == "agent" else "",
         upstream=(ip, port["app"]) if role == "agent" else ("", 0),
         outbound=(ip, port["outbound"]) if role == "agent" else ("", 0),
@@ -378,6 +379,29 @@
     start_daemon(context, "agent", holder)
 
 
+def replace_first_agent(context):
+    kill_daemon(context, "agent", 1)
+    context.first_start = False
+    start_daemon(context, "agent", 1)
+
+
+@when("the agent of host 1 is replaced by a new one")
+def replace_agent_1(context):
+    replace_first_agent(context)
+
+
+@when("the record of host 1 is deleted and its agent is replaced by a new one")
+def replace_agent_without_record(context):
+    assert context.standin.delete("agents", "agent-1")
+    replace_first_agent(context)
+
+
+@then("the agents have written to the store {count:d} times")
+def check_writes(context, count):
+    calls = [call for call in context.standin.calls if call[0] != "GET"]
+    assert len(calls) == count, calls
+
+
 @when("the upstream of agent 1 leaves and the agent stops")
 def agent_leaves(context):
     assert send_heartbeat(context, 1, 2, path="deregister").status == 200
