Hear of agents at once that start after a balancer

Cause: a balancer asks an agent whose report is overdue every 0.5 s. After a loss of power the balancers are up before the agents, so their first subscriptions are lost.

Change: for 3 s after the last report the subscription is repeated every 0.1 s, at most 2,500 a second; later every 0.5 s as before.

Result: forward_balancer.feature, "An agent that starts after a balancer is heard of at once", failed with 10 and 136 agents.

--- a/crocusmux/core/forward/balancer.py
+++ b/crocusmux/core/forward/balancer.py
@@ -21,8 +21,14 @@
 # agents, to keep to the limit of subscriptions.
 SUBSCRIBE_INTERVAL_S = 2.0
 MAX_SUBSCRIPTIONS_PER_S = 10
-# The same while a report is overdue: a restarted agent has no subscribers.
-RESUBSCRIBE_INTERVAL_S = 0.5
+# The same while a report is overdue, as a restarted agent has no subscribers.
+# After a loss of power flows wait for the first reports.
+MIN_RESUBSCRIBE_INTERVAL_S = 0.1
+# The same after some time without a report, and in a fleet of any size.
+MAX_RESUBSCRIBE_INTERVAL_S = 0.5
+FAST_RESUBSCRIBE_S = 3.0
+# Limit of the subscriptions if the reports of all agents are overdue.
+MAX_RESUBSCRIPTIONS_PER_S = 2_500
 # Validity of a subscription in subscribe intervals, as datagrams get lost.
 SUBSCRIPTION_INTERVALS = 5
 # Agents that are told of a new configuration at once.  Balancers tell different
@@ -90,6 +96,7 @@
         )
         self._next_subscribe_at = 0.0
         self._next_resubscribe_at = 0.0
+        self._next_slow_resubscribe_at = 0.0
         self._next_expiry_at = 0.0
 
     def configure(self, cfg: routes.Configuration) -> Outputs:
@@ -339,11 +346,11 @@
         sent: Outputs = []
         if now >= self._next_subscribe_at:
             self._next_subscribe_at = now + self._subscribe_interval_s()
-            self._next_resubscribe_at = now + RESUBSCRIBE_INTERVAL_S
+            self._schedule_resubscription(now)
             sent += self._subscribe()
         elif now >= self._next_resubscribe_at:
-            self._next_resubscribe_at = now + RESUBSCRIBE_INTERVAL_S
             sent += self._resubscribe(now)
+            self._schedule_resubscription(now)
         if now >= self._next_expiry_at:
             self._next_expiry_at = now + EXPIRY_INTERVAL_S
             idle_s = self.routes.idle_s + IDLE_SLACK_S
@@ -364,10 +371,26 @@
         return self._make_subscriptions(self.agent_table.all())
 
     def _resubscribe(self, now: float) -> Outputs:
+        """Subscribes again to agents whose report is overdue."""
         agents = self.agent_table.all()
         overdue = [upstream for upstream in agents if upstream.overdue(now)]
+        if now >= self._next_slow_resubscribe_at:
+            self._next_slow_resubscribe_at = now + MAX_RESUBSCRIBE_INTERVAL_S
+        else:
+            overdue = [
+                upstream
+                for upstream in overdue
+                if upstream.silent_for_s(now) <= FAST_RESUBSCRIBE_S
+            ]
         return self._make_subscriptions(overdue, report_now=True)
 
+    def _schedule_resubscription(self, now: float) -> None:
+        interval_s = len(self.agent_table) / MAX_RESUBSCRIPTIONS_PER_S
+        interval_s = max(interval_s, MIN_RESUBSCRIBE_INTERVAL_S)
+        self._next_resubscribe_at = now + min(
+            interval_s, MAX_RESUBSCRIBE_INTERVAL_S
+        )
+
     def _make_subscriptions(
         self, agents: Iterable[upstreams.Upstream], report_now: bool = False
     ) -> Outputs:
--- a/crocusmux/core/forward/upstreams.py
+++ b/crocusmux/core/forward/upstreams.py
@@ -7,7 +7,7 @@
 from crocusmux.core.forward import reports
 
 # A report is overdue after this many intervals and up to this time.  The agent is
-# then asked to report at once, every half second.  A host that returns later
+# then asked to report at once, several times a second.  A host that returns later
 # announces itself again.
 OVERDUE_INTERVALS = 1.5
 MAX_OVERDUE_S = 20.0
@@ -24,7 +24,7 @@
 MAX_OVERDUE_UNTIL_LOST_S = 4.0
 # Shorter limit for an agent that has never reported to this balancer, so that
 # after a loss of power callers don't wait long for hosts that did not return.
-# Such an agent gets a subscription every half second.
+# Such an agent gets a subscription every half second or more often.
 FIRST_REPORT_TIMEOUT_S = 2.5
 # An agent that declined a flow because of overload gets no other flow for this
 # time, about one service time.
@@ -93,6 +93,13 @@
         """Returns the time since the last report, seconds."""
         return now - self.reported_at
 
+    def silent_for_s(self, now: float) -> float:
+        """Returns the time since the last report, or since the agent is known.
+
+        In seconds.
+        """
+        return now - max(self.reported_at, self.added_at)
+
     def silent(self, now: float) -> bool:
         """Returns True if several reports are missing."""
         if self.report is None:
@@ -107,7 +114,7 @@
     def overdue(self, now: float) -> bool:
         """Returns True if a report is overdue, but not for too long."""
         interval_s = self.report.interval_s if self.report else 0.0
-        silent_s = now - max(self.reported_at, self.added_at)
+        silent_s = self.silent_for_s(now)
         return OVERDUE_INTERVALS * interval_s < silent_s < MAX_OVERDUE_S
 
     def lost(self, now: float) -> bool:
--- a/features/balancer_sample.py
+++ b/features/balancer_sample.py
@@ -76,9 +76,20 @@
 
 
 def host_at(context, address):
-    known = context.core.agent_table.all()
-    (upstream,) = [x for x in known if x.record.address == address]
-    return upstream.record.host
+    return host_of(context, address, lambda record: record.address)
+
+
+def host_of(context, address, address_of):
+    """Returns the host with an address; remembers where it was found."""
+    table = context.core.agent_table
+    if not hasattr(context, "hosts_by_address"):
+        context.hosts_by_address = {}
+    known = table.get(context.hosts_by_address.get(address, ""))
+    if known is None or address_of(known.record) != address:
+        found = [x for x in table.all() if address_of(x.record) == address]
+        (known,) = found
+        context.hosts_by_address[address] = known.record.host
+    return known.record.host
 
 
 def offered_hosts(context):
@@ -178,9 +189,7 @@
 
 
 def host_with_control(context, address):
-    known = context.core.agent_table.all()
-    (upstream,) = [x for x in known if x.record.control == address]
-    return upstream.record.host
+    return host_of(context, address, lambda record: record.control)
 
 
 def subscriptions_in(context, outs):
--- a/features/forward_balancer.feature
+++ b/features/forward_balancer.feature
@@ -505,6 +505,26 @@
     When 1.5 s pass in which h7 does not report
     Then h7 alone got subscriptions, at least twice
 
+  # Guards against callers that wait for half a second after a loss of power: a
+  # balancer that started before the agents subscribed to each of them every
+  # 0.5 s only (further, trouble-1: ready at 35.65 s, first report at 36.13 s).
+  Scenario Outline: An agent that starts after a balancer is heard of at once
+    Given a balancer that has just started with <count> agents of rounds
+    When 2 s pass without a report
+    Then no agent was without a subscription for more than <seconds> s
+
+    Examples:
+      | count | seconds |
+      | 10    | 0.15    |
+      | 136   | 0.15    |
+      | 1200  | 0.55    |
+
+  # Guards against control traffic to hosts that are gone for good.
+  Scenario: A host that stays away gets a subscription twice a second
+    Given a balancer that has just started with 10 agents of rounds
+    When 10 s pass without a report
+    Then each agent got at most 2 subscriptions a second after 3 s
+
   # Guards against a cost for each flow that grows with the fleet: all agents of
   # the service were filtered and ranked for each new or unknown flow.
   Scenario: The agents examined for a flow do not grow with the service
--- a/features/steps/forward_balancer_steps.py
+++ b/features/steps/forward_balancer_steps.py
@@ -452,6 +452,62 @@
     context.rate = context.report_count / seconds
 
 
+@given("a balancer that has just started with {count:d} agents of rounds")
+def just_started(context, count):
+    balancer_sample.start(context)
+    context.hosts = [f"h{number}" for number in range(count)]
+    context.subscribed = []
+    for number, host in enumerate(context.hosts):
+        ip = f"10.0.{2 + number // 250}.{number % 250}"
+        outs = context.core.add_agent(
+            context.now, balancer_sample.record(host, "rounds", ip)
+        )
+        record_subscriptions(context, outs)
+
+
+def record_subscriptions(context, outs):
+    context.subscribed += [
+        (out.to, context.now)
+        for out in outs
+        if isinstance(out, outputs.ToPeer)
+        and isinstance(out.message, reports.Subscribe)
+    ]
+
+
+@when("{seconds:g} s pass without a report")
+def pass_without_report(context, seconds):
+    context.began_at = context.now
+    while context.now < context.began_at + seconds:
+        context.now += 0.05
+        record_subscriptions(context, context.core.on_timer(context.now))
+
+
+def subscription_times(context):
+    times = {}
+    for address, sent_at in context.subscribed:
+        times.setdefault(address, []).append(sent_at)
+    assert len(times) == len(context.hosts)
+    return times.values()
+
+
+@then("no agent was without a subscription for more than {seconds:g} s")
+def check_gaps(context, seconds):
+    for times in subscription_times(context):
+        ends = [*times[1:], context.now]
+        gaps = [end - start for start, end in zip(times, ends, strict=True)]
+        assert max(gaps) <= seconds + 1e-6, max(gaps)
+
+
+@then(
+    "each agent got at most {count:d} subscriptions a second after {start:g} s"
+)
+def check_slow(context, count, start):
+    for times in subscription_times(context):
+        late = [x for x in times if x > context.began_at + start]
+        seconds = context.now - context.began_at - start
+        assert 0 < len(late) <= count * seconds + 1, late
+
+
 @when("one of them dies and {count:d} flows are placed in 10 s")
 def place_beside_dead(context, count):
     core = context.core
