Refuse control messages with impossible numbers

Cause: a report with a negative load raised a TypeError at the next placement of a flow (a negative number to a fractional power is complex), and one with an infinite service time a ZeroDivisionError: one malformed datagram made a balancer fail at each new flow. Found by trying out the limits of the compact report; the fuzz of bad_input.feature draws loads from 0 upwards.

Change: reports and subscriptions with a negative, infinite, undefined or huge number cannot be decoded, which counts as bad input.

--- a/crocusmux/core/forward/agent_table.py
+++ b/crocusmux/core/forward/agent_table.py
@@ -10,10 +10,11 @@
 # Share of a flow's preferred upstreams in the balancer's failure domain; the
 # others get flows for which that domain has no capacity.
 LOCAL_DOMAIN_SHARE = 0.625
-# The same in a failure domain with more agents than report within half a second:
-# of more agents two or more have a recent report.
-LARGE_DOMAIN_SHARE = 0.875
+# In a failure domain with more agents than this, not all of them report within
+# half a second.  A larger share is taken from it, so that two or more have a
+# recent report.
 MAX_SMALL_DOMAIN_AGENTS = 24
+LARGE_DOMAIN_SHARE = 0.875
 
 Usable = Callable[[upstreams.Upstream], bool]
 
@@ -59,6 +60,8 @@
             count: Number of preferred agents.
         """
         local = len(self.rings.get(domain, ()))
+        if local == len(self.agents):
+            return count
         if local > MAX_SMALL_DOMAIN_AGENTS:
             return round(LARGE_DOMAIN_SHARE * count)
         return round(LOCAL_DOMAIN_SHARE * count)
@@ -219,7 +222,10 @@
     def preferred_local(
         self, key: bytes, usable: Usable, count: int
     ) -> list[upstreams.Upstream]:
-        """Returns those ``preferred`` agents of the balancer's domain."""
+        """Returns the preferred agents in the balancer's failure domain.
+
+        The arguments are those of ``preferred``.
+        """
         domain = self._failure_domain
         return [
             upstream
--- a/crocusmux/core/forward/balancer.py
+++ b/crocusmux/core/forward/balancer.py
@@ -21,13 +21,13 @@
 # agents, to keep to the limit of subscriptions.
 SUBSCRIBE_INTERVAL_S = 2.0
 MAX_SUBSCRIPTIONS_PER_S = 10
-# The same while a report is overdue, as a restarted agent has no subscribers.
-# After a loss of power flows wait for the first reports.
+# The same while a report is overdue, as a restarted agent has no subscribers.  It
+# is short at first, since after a loss of power flows wait for the first reports.
 MIN_RESUBSCRIBE_INTERVAL_S = 0.1
-# The same after some time without a report, and in a fleet of any size.
 MAX_RESUBSCRIBE_INTERVAL_S = 0.5
+# Time without a report after which the longer interval applies.
 FAST_RESUBSCRIBE_S = 3.0
-# Limit of the subscriptions if the reports of all agents are overdue.
+# Limit of these subscriptions in a large fleet without any reports.
 MAX_RESUBSCRIPTIONS_PER_S = 2_500
 # Validity of a subscription in subscribe intervals, as datagrams get lost.
 SUBSCRIPTION_INTERVALS = 5
--- a/crocusmux/core/forward/holder_lookup.py
+++ b/crocusmux/core/forward/holder_lookup.py
@@ -7,9 +7,8 @@
 # Agents queried in the first round; new flows are placed among them.
 FIRST_ROUND_AGENTS = 8
 # Agents of each failure domain queried in the second and in the third round.
-# The holder is one of them if those that the flow prefers most had no recent
-# report, if a balancer of another domain placed the flow, or if agents have
-# joined, left or returned since.
+# The holder is one of them if a balancer of another domain placed the flow, or
+# if agents have joined, left or returned since.
 DOMAIN_ROUND_AGENTS = (8, 32)
 FIRST_ROUND = 1
 # Time to wait for replies, and between two searches.
--- a/crocusmux/core/forward/reports.py
+++ b/crocusmux/core/forward/reports.py
@@ -6,6 +6,21 @@
 
 from crocusmux import addresses
 
+# Larger numbers in a message are bad input.
+MAX_NUMBER = 1e9
+
+
+def _check_numbers(message: msgspec.Struct, names: tuple[str, ...]) -> None:
+    """Checks fields with which a balancer or an agent calculates.
+
+    Raises:
+        ValueError: A number is negative, infinite or not a number.
+    """
+    for name in names:
+        number = getattr(message, name)
+        if not 0 <= number <= MAX_NUMBER:
+            raise ValueError(f"{name} is out of range: {number}")
+
 
 class Subscribe(msgspec.Struct, frozen=True, tag="s", array_like=True):
     """A balancer subscribes to an agent's load reports.
@@ -33,6 +48,7 @@
 
     def __post_init__(self) -> None:
         addresses.check(self.address)
+        _check_numbers(self, ("valid_s", "interval_s"))
 
 
 class LoadReport(msgspec.Struct, frozen=True, tag="l", array_like=True):
@@ -66,6 +82,12 @@
     config_version: int
     config_source: str
 
+    def __post_init__(self) -> None:
+        _check_numbers(
+            self,
+            ("slots", "in_progress", "flows", "service_ms", "interval_s"),
+        )
+
 
 class CompactReport(msgspec.Struct, frozen=True, tag="r", array_like=True):
     """A load report in fewer bytes, for balancers that can decode it.
@@ -92,6 +114,18 @@
     config_version: int
     config_source: str
 
+    def __post_init__(self) -> None:
+        _check_numbers(
+            self,
+            (
+                "slots",
+                "in_progress_percent",
+                "flows",
+                "service_ms",
+                "interval_ms",
+            ),
+        )
+
 
 def compact(report: LoadReport, service_tag: int) -> CompactReport:
     """Returns a load report in its compact form."""
--- a/features/bad_input.feature
+++ b/features/bad_input.feature
@@ -45,3 +45,27 @@
       | ["", 7720]        |
       | ["10.0.0.1", -1]  |
       | ["10.0.0.1", 70000] |
+
+  # Guards against a balancer that ends because of one report: a negative load or
+  # an infinite service time raised an error once a flow was placed.
+  Scenario Outline: A control message with an impossible number is refused
+    Then a <message> whose <field> is <value> cannot be decoded
+
+    Examples:
+      | message       | field               | value         |
+      | LoadReport    | in_progress         | -1.0          |
+      | LoadReport    | in_progress         | NaN           |
+      | LoadReport    | service_ms          | Infinity      |
+      | LoadReport    | interval_s          | NaN           |
+      | LoadReport    | slots               | -1            |
+      | LoadReport    | flows               | -1            |
+      | CompactReport | in_progress_percent | -1            |
+      | CompactReport | service_ms          | -1            |
+      | CompactReport | interval_ms         | -1            |
+      | CompactReport | flows               | 1000000000000 |
+      | Subscribe     | interval_s          | NaN           |
+      | Subscribe     | valid_s             | Infinity      |
+
+  # Guards against a check that refuses everything.
+  Scenario: Control messages with possible numbers are decoded
+    Then a LoadReport, a CompactReport and a Subscribe can be decoded
--- a/features/forward_balancer.feature
+++ b/features/forward_balancer.feature
@@ -489,6 +489,12 @@
     When 400 callers open flows to rounds, two between reports
     Then at least 95 percent of them are offered to agents in abay
 
+  # Guards against a choice among fewer upstreams in a deployment without other
+  # failure domains.
+  Scenario: In a single failure domain a flow is placed among eight upstreams
+    Given a balancer with 20 agents of rounds
+    Then one flow is placed among 8 of them
+
   # Guards against long flows that accumulate in one domain: after a restart of
   # all hosts its upstreams answered late for 8 s (shygrind, trouble-3).
   Scenario: Balanced open flows have precedence over the own failure domain
--- a/features/steps/bad_input_steps.py
+++ b/features/steps/bad_input_steps.py
@@ -355,3 +355,41 @@
     except msgspec.DecodeError:
         return
     raise AssertionError(f"accepted: {text}")
+
+
+def control_message(kind):
+    """Returns a message of a kind, as the list of its encoded values."""
+    report = balancer_sample.load_report("a")
+    messages = {
+        "LoadReport": report,
+        "CompactReport": reports.compact(report, 7),
+        "Subscribe": reports.Subscribe(
+            "edge-1", ("10.0.0.9", 7720), 5, "", 10.0, 0.25
+        ),
+    }
+    return msgspec.msgpack.decode(msgspec.msgpack.encode(messages[kind]))
+
+
+def decode_message(values):
+    data = msgspec.msgpack.encode(values)
+    return msgspec.msgpack.decode(data, type=reports.Message)
+
+
+@then("a {kind:w} whose {field:w} is {value} cannot be decoded")
+def check_refused(context, kind, field, value):
+    values = control_message(kind)
+    position = getattr(reports, kind).__struct_fields__.index(field) + 1
+    values[position] = json.loads(value)
+    try:
+        decode_message(values)
+    except msgspec.ValidationError as exc:
+        assert field in str(exc), exc
+    else:
+        raise AssertionError(f"{kind} with {field}={value} was decoded")
+
+
+@then("a LoadReport, a CompactReport and a Subscribe can be decoded")
+def check_decoded(context):
+    for kind in ("LoadReport", "CompactReport", "Subscribe"):
+        message = decode_message(control_message(kind))
+        assert type(message).__name__ == kind
--- a/features/steps/forward_balancer_steps.py
+++ b/features/steps/forward_balancer_steps.py
@@ -7,6 +7,7 @@
 from behave import then
 from behave import when
 
+from crocusmux.core.forward import chooser
 from crocusmux.core.forward import flow_table
 from crocusmux.core.forward import openings
 from crocusmux.core.forward import outputs
@@ -401,6 +402,20 @@
     assert not away & set(context.holders.values())
 
 
+@then("one flow is placed among {count:d} of them")
+def check_candidates(context, count):
+    upstream_chooser = chooser.UpstreamChooser(
+        context.core.agent_table, "abay", random.Random(4)
+    )
+    chosen = {
+        upstream_chooser.choose(
+            context.now, balancer_sample.flow_key(40_001), "rounds", set()
+        ).record.host
+        for _ in range(200)
+    }
+    assert len(chosen) == count, chosen
+
+
 @when("all agents but {host} decline new flows")
 def only_one_accepts(context, host):
     others = [name for name in context.hosts if name != host]
