--- a/features/lookups.feature
+++ b/features/lookups.feature
@@ -33,6 +33,6 @@
   Scenario: Callers that return late after a loss of power are reset soon
     Given open flows in a fleet of 109 agents in 5 failure domains
     When all hosts lose power and start again
-    And callers of 1000 other lost flows send within 4 s
+    And callers send on 1000 lost flows again within 4 s
     Then half of them are reset within 0.43 s, the goal of their requests
     And 99 of 100 are reset within 1.4 s, before their callers give up an attempt
--- a/features/steps/lookups_steps.py
+++ b/features/steps/lookups_steps.py
@@ -42,7 +42,7 @@
     assert waited <= limit, waited
 
 
-@when("callers of {count:d} other lost flows send within {seconds:g} s")
+@when("callers send on {count:d} lost flows again within {seconds:g} s")
 def send_on_lost_flows(context, count, seconds):
     assert count == lookups.FLOWS
     context.fleet.send_all(seconds)
