--- /dev/null
+++ b/review/1/case.py
@@ -0,0 +1,47 @@
+"""The route of open flows gets another service, then a balancer restarts."""
+
+import asyncio
+import pathlib
+import sys
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
+
+import standins
+
+FLOWS = 4
+# Longer than `config_apply_ms`, so that every balancer has the new version.
+CONFIG_APPLY_S = 4.0
+
+
+async def play(case: standins.Case) -> bool:
+    """Returns True if an open flow got a reset that no endpoint sent."""
+    await case.start(
+        case.desired_state(7, {1: "rounds"}), 2, ["rounds", "wheelbook"]
+    )
+    route = case.route()
+    last = case.balancers[-1]
+    flows = [
+        case.client.flow(
+            route, lambda src: case.router.pick(src, route) is last
+        )
+        for _ in range(FLOWS)
+    ]
+    for number, flow in enumerate(flows):
+        opened = await flow.connect()
+        if not opened or await flow.request(f"a{number}") != "answer":
+            raise standins.CannotRunError("no flow was opened")
+    service = "wheelbook" if case.trouble else "rounds"
+    await case.store.put("config", "main", case.desired_state(12, {1: service}))
+    await asyncio.sleep(CONFIG_APPLY_S)
+    for number, flow in enumerate(flows):
+        if await flow.request(f"b{number}") != "answer":
+            raise standins.CannotRunError("a flow ended before the restart")
+    # The routers move the flows to the other balancer.
+    await last.terminate()
+    for number, flow in enumerate(flows):
+        await flow.request(f"c{number}")
+    return any(standins.flows_reset(case, flow) for flow in flows)
+
+
+if __name__ == "__main__":
+    standins.main(__file__, play)
