--- a/review/1/case.py
+++ b/review/1/case.py
@@ -16,7 +16,7 @@
 async def play(case: standins.Case) -> bool:
     """Returns True if an open flow got a reset that no endpoint sent."""
     await case.start(
-        case.desired_state(7, {1: "rounds"}), 2, ["rounds", "wheelbook"]
+        case.desired_state(7, {1: "rounds"}), 2, {1: "rounds", 2: "wheelbook"}
     )
     route = case.route()
     last = case.balancers[-1]
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -23,7 +23,7 @@
 async def play(case: standins.Case) -> bool:
     """Returns True if an opening reached the draining endpoint too late."""
     await case.start(
-        case.desired_state(7, {1: "rounds"}), 1, ["rounds", "rounds"]
+        case.desired_state(7, {1: "rounds"}), 1, {1: "rounds", 2: "rounds"}
     )
     machine, earlier = case.agents[0], case.endpoints[0]
     delayed = [earlier.report() for _ in range(DELAYED)]
--- a/review/standins.py
+++ b/review/standins.py
@@ -379,17 +379,33 @@
     """A machine of the system with one daemon, run as the deploy file says."""
 
     def __init__(
-        self, case: "Case", role: str, number: int, service: str
+        self,
+        case: "Case",
+        role: str,
+        number: int,
+        service: str,
+        ip: str = "",
+        first: bool = True,
     ) -> None:
+        """Describes a machine.
+
+        Args:
+            case: The case.
+            role: Role in the deploy file.
+            number: Last part of the machine's name.
+            service: Service of the endpoint beside an agent.
+            ip: The machine's address; its own one by default.
+            first: True if the whole system starts for the first time.
+        """
         self.case = case
         self.role = role
         self.service = service
         self.name = f"{'edge' if role == 'balancer' else 'side'}-abay-{number}"
-        self.ip = case.net.ip(1 if role == "balancer" else 2, number)
+        self.ip = ip or case.net.ip(1 if role == "balancer" else 2, number)
         self.process: asyncio.subprocess.Process | None = None
         self.ends: list[int] = []
         self._restart = False
-        self._first = True
+        self._first = first
         self._watcher: asyncio.Task[None] | None = None
 
     def at(self, port: str) -> Address:
@@ -929,30 +945,41 @@
         }
 
     async def start(
-        self, state: dict[str, Any], balancers: int, services: list[str]
+        self, state: dict[str, Any], balancers: int, services: dict[int, str]
     ) -> None:
-        """Starts the deployment and waits until all balancers are ready."""
+        """Starts the deployment and waits until all balancers are ready.
+
+        Args:
+            state: The first desired state.
+            balancers: Number of balancers.
+            services: Service of each endpoint, by its machine's number.
+        """
         await self.store.start()
         await self.store.put("config", "main", state)
         self.balancers = [
             Machine(self, "balancer", n + 1, "") for n in range(balancers)
         ]
         self.agents = [
-            Machine(self, "agent", n + 1, x) for n, x in enumerate(services)
+            Machine(self, "agent", n, x) for n, x in services.items()
         ]
         for machine in self.balancers + self.agents:
             await machine.start()
         await self.router.start()
         await self.client.start()
         for machine in self.agents:
-            await self.until(lambda m=machine: self._serves(m), 10)
-            endpoint = Endpoint(machine)
-            await endpoint.start()
-            self.endpoints.append(endpoint)
+            await self.start_endpoint(machine)
         await self.until(self._all_ready, 15)
         # Two report intervals, so that every balancer knows every endpoint.
         await asyncio.sleep(2.0)
 
+    async def start_endpoint(self, machine: Machine) -> Endpoint:
+        """Starts an endpoint once the agent on its machine answers."""
+        await self.until(lambda: self._serves(machine), 10)
+        endpoint = Endpoint(machine)
+        await endpoint.start()
+        self.endpoints.append(endpoint)
+        return endpoint
+
     async def _serves(self, machine: Machine) -> bool:
         status = await http("GET", machine.at("control"), "/crocusmux/ready")
         return status == 200
@@ -966,6 +993,11 @@
         address = machine.at("readiness")
         return await http("GET", address, "/crocusmux/ready") == 200
 
+    async def in_rotation(self, machine: Machine) -> bool:
+        """Returns True if a balancer is up and in rotation."""
+        ready = await self._serves_ready(machine)
+        return ready and machine in self.router.rotation()
+
     async def until(
         self, condition: Callable[[], Awaitable[bool]], limit_s: float
     ) -> None:
