--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,62 +1,66 @@
-"""Delayed status reports of an earlier boot arrive while the next one drains."""
+"""The deletion of an agent's record is done late, after its next start."""
 
 import asyncio
 import pathlib
 import sys
-import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 
 import standins
 
-FLOWS = 12
-# Status reports of the earlier boot that are delayed, one interval apart.
-DELAYED = 2
-# Time between the crash and the start of the next boot.
-CRASH_S = 2.0
-# Time for which the next boot is ready before it drains.
-READY_S = 1.5
-# Time after the ack of the drain at which the delayed reports arrive.
-ARRIVE_S = standins.DRAIN_MS / 1000 + 1.0
+FLOWS = 10
+# Between the crash of the endpoint and the stop of the agent beside it.
+STOP_AFTER_S = 3.2
+# Time for which the endpoint is down.
+CRASH_S = 5.1
+# The store does the deletion at most 6 s after it was sent.
+LATE_S = 6.0
 
 
 async def play(case: standins.Case) -> bool:
-    """Returns True if an opening reached the draining endpoint too late."""
+    """Returns True if an open flow got a reset that no endpoint sent."""
     await case.start(
         case.desired_state(7, {1: "rounds"}), 1, {1: "rounds", 2: "rounds"}
     )
-    machine, earlier = case.agents[0], case.endpoints[0]
-    delayed = [earlier.report() for _ in range(DELAYED)]
-    earlier.crash()
-    await asyncio.sleep(CRASH_S)
-    endpoint = standins.Endpoint(machine, born=int(time.time() * 1000))
+    machine, crashed = case.agents[0], case.endpoints[0]
+    loop = asyncio.get_running_loop()
+    deleted_at: list[float] = []
+
+    def lose(method: str, kind: str, name: str) -> float | None:
+        if method != "DELETE" or name != machine.name or deleted_at:
+            return None
+        deleted_at.append(loop.time())
+        return LATE_S if case.trouble else None
+
+    case.store.lose = lose
+    crashed.crash()
+    crashed_at = loop.time()
+    await asyncio.sleep(STOP_AFTER_S)
+    await machine.terminate()
+    await asyncio.sleep(max(0.0, crashed_at + CRASH_S - loop.time()))
+    endpoint = standins.Endpoint(machine)
     await endpoint.start()
     case.endpoints.append(endpoint)
-    await asyncio.sleep(READY_S)
-    endpoint.state = "draining"
-    while not any(state == "draining" for _, state in endpoint.acks):
-        await asyncio.sleep(0.05)
-    acked_at = next(at for at, state in endpoint.acks if state == "draining")
-    case.record.note("drain-acked", id=endpoint.id)
-    await asyncio.sleep(acked_at + ARRIVE_S - case.record.now())
-    # Between two status reports of the draining boot.
-    count = len(endpoint.acks)
-    while len(endpoint.acks) == count:
-        await asyncio.sleep(0.02)
-    if case.trouble:
-        for report in delayed:
-            await earlier.deliver(report)
-    for number in range(FLOWS):
-        flow = case.client.flow(case.route())
-        if await flow.connect():
-            await flow.request(f"a{number}")
-    late = [
-        at
-        for at, _ in endpoint.taken
-        if at > acked_at + standins.DRAIN_MS / 1000
-    ]
-    case.record.note("openings-after-drain", count=len(late))
-    return bool(late)
+    if not deleted_at:
+        raise standins.CannotRunError("the agent deleted no record")
+    # The agent reports the new boot within one interval of its status reports.
+    await asyncio.sleep(max(0.0, deleted_at[0] + 4.5 - loop.time()))
+    flows = [case.client.flow(case.route()) for _ in range(FLOWS)]
+    for number, flow in enumerate(flows):
+        if not await flow.connect():
+            raise standins.CannotRunError("no flow was opened")
+        await flow.request(f"a{number}")
+    mine = [x for x in flows if (x.src, x.route) in endpoint.held]
+    case.record.note("flows-of-the-new-boot", count=len(mine))
+    if not mine:
+        raise standins.CannotRunError("the new boot got no flow")
+    # All machines and the store are calm for more than `stable_window_ms`.
+    calm_at = deleted_at[0] + LATE_S + standins.STABLE_WINDOW_S + 1.0
+    await asyncio.sleep(max(0.0, calm_at - loop.time()))
+    case.record.note("records", agents=case.store.names("agents"))
+    for number, flow in enumerate(mine):
+        await flow.request(f"b{number}")
+    return any(standins.flows_reset(case, flow) for flow in mine)
 
 
 if __name__ == "__main__":
--- a/review/standins.py
+++ b/review/standins.py
@@ -175,13 +175,15 @@
     Attributes:
         lose: Decides for each write whether its answer is lost: returns None
             to answer, or the seconds after which the write is done.
-        after_write: Called after each write with method, kind and name.
+        silent: True while the store answers no call; a connection on which an
+            answer was lost returns nothing further.
     """
 
     def __init__(self, record: Record, address: Address) -> None:
         self.lose: Callable[[str, str, str], float | None] = (
             lambda method, kind, name: None
         )
+        self.silent = False
         self.address = address
         self._record = record
         self._revision = 100
@@ -233,6 +235,12 @@
             "/"
         )
         name = urllib.parse.unquote(name)
+        if self.silent:
+            self._record.note(
+                "store-silent", method=method, kind=kind, query=url.query
+            )
+            await reader.read()
+            return False
         if method == "GET":
             status, answer = await self._read(kind, name, query)
         else:
