--- a/review/4/case.py
+++ b/review/4/case.py
@@ -43,8 +43,10 @@
     case.endpoints.append(endpoint)
     if not deleted_at:
         raise standins.CannotRunError("the agent deleted no record")
-    # The agent reports the new boot within one interval of its status reports.
-    await asyncio.sleep(max(0.0, deleted_at[0] + 4.5 - loop.time()))
+    while not endpoint.acks:
+        await asyncio.sleep(0.05)
+    # Two report intervals, so that the balancer knows of the new boot.
+    await asyncio.sleep(0.6)
     flows = [case.client.flow(case.route()) for _ in range(FLOWS)]
     for number, flow in enumerate(flows):
         if not await flow.connect():
--- a/review/standins.py
+++ b/review/standins.py
@@ -348,7 +348,10 @@
     """Addresses and ports of one case."""
 
     def __init__(self) -> None:
-        self._net = f"127.{random.randrange(20, 250)}"
+        # Daemons serve metrics on a fixed port, so cases that run at the same
+        # time need different addresses.
+        self._net = random.randrange(20, 250)
+        self._first_group = random.randrange(0, 240, 10)
         self.ports = self._free_ports(7)
         names = [
             "data",
@@ -363,7 +366,7 @@
 
     def ip(self, group: int, number: int) -> str:
         """Returns the address of a machine, consumer or route."""
-        return f"{self._net}.{group}.{number}"
+        return f"127.{self._net}.{self._first_group + group}.{number}"
 
     def _free_ports(self, count: int) -> list[int]:
         ports: list[int] = []
@@ -910,6 +913,7 @@
         version: int,
         services: dict[int, str],
         idle_ms: int = 15_000,
+        split: dict[str, int] | None = None,
     ) -> dict[str, Any]:
         """Returns a desired state.
 
@@ -917,7 +921,21 @@
             version: Its version.
             services: Service of each route, by the route's number.
             idle_ms: Idle timeout of flows.
+            split: Weights of the services of route 1, if it has several.
         """
+        state = self._desired_state(version, services, idle_ms)
+        if split:
+            route = state["routes"][0]
+            del route["service"]
+            route["traffic_split"] = [
+                {"service": name, "weight": weight}
+                for name, weight in split.items()
+            ]
+        return state
+
+    def _desired_state(
+        self, version: int, services: dict[int, str], idle_ms: int
+    ) -> dict[str, Any]:
         return {
             "version": version,
             "routes": [
