--- a/review/standins.py
+++ b/review/standins.py
@@ -36,6 +36,9 @@
 SYN_COPIES_S = (0.0, 0.2, 0.6)
 SYN_TIMEOUT_S = 1.4
 
+# Stands for a part of an object's JSON that is written as it is.
+PLACEHOLDER = "@placeholder@"
+
 Address = tuple[str, int]
 
 
@@ -175,6 +178,7 @@
     Attributes:
         lose: Decides for each write whether its answer is lost: returns None
             to answer, or the seconds after which the write is done.
+        placeholder: JSON text that the store holds in place of PLACEHOLDER.
         silent: True while the store answers no call; a connection on which an
             answer was lost returns nothing further.
     """
@@ -183,6 +187,7 @@
         self.lose: Callable[[str, str, str], float | None] = (
             lambda method, kind, name: None
         )
+        self.placeholder = "null"
         self.silent = False
         self.address = address
         self._record = record
@@ -253,7 +258,8 @@
                 await reader.read()
                 return False
             status, answer = await self._apply(method, kind, name, content)
-        data = json.dumps(answer).encode()
+        text = json.dumps(answer)
+        data = text.replace(f'"{PLACEHOLDER}"', self.placeholder).encode()
         head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(data)}\r\n\r\n"
         writer.write(head.encode() + data)
         await writer.drain()
