--- a/review/standins.py
+++ b/review/standins.py
@@ -36,6 +36,11 @@
 SYN_COPIES_S = (0.0, 0.2, 0.6)
 SYN_TIMEOUT_S = 1.4
 
+# Exit status of case.py if the rule was broken; run.sh turns it into 1, and the
+# status of a failure of the case itself into 2.
+BROKEN_STATUS = 10
+HELD_STATUS = 0
+CANNOT_RUN_STATUS = 2
 # Stands for a part of an object's JSON that is written as it is.
 PLACEHOLDER = "@placeholder@"
 
@@ -1065,7 +1070,7 @@
 def main(
     file: str, play: Callable[[Case], Awaitable[bool]], limit_s: float = 110
 ) -> None:
-    """Plays a case; exits with 1 if it broke its rule, 0 if not, else 2.
+    """Plays a case, and ends the process with one of the statuses above.
 
     Args:
         file: Path of the script of the case.
@@ -1074,6 +1079,10 @@
     """
 
     async def run(temporary: pathlib.Path) -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
         case = Case(pathlib.Path(file).resolve().parent, temporary)
         try:
             async with asyncio.timeout(limit_s):
@@ -1081,18 +1090,13 @@
         except (CannotRunError, TimeoutError, OSError) as exc:
             case.record.note("cannot-run", reason=repr(exc))
             for path in sorted(temporary.glob("*.log")):
-                case.record.note(
-                    "log", of=path.name, tail=path.read_text()[-600:]
-                )
-            return 2
+                tail = path.read_text(encoding="utf-8")[-600:]
+                case.record.note("log", of=path.name, tail=tail)
+            return CANNOT_RUN_STATUS
         finally:
             await case.stop()
         case.record.note("outcome", broken=broken)
-        if os.environ.get("KEEP_LOGS"):
-            for path in sorted(temporary.glob("*.log")):
-                target = pathlib.Path(os.environ["KEEP_LOGS"]) / path.name
-                target.write_bytes(path.read_bytes())
-        return 1 if broken else 0
+        return BROKEN_STATUS if broken else HELD_STATUS
 
     with tempfile.TemporaryDirectory() as name:
         status = asyncio.run(run(pathlib.Path(name)))
