--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,57 +1,82 @@
-"""The store is silent for seconds, then the desired state changes."""
+"""A new machine uses the address of a lost one; then all daemons are killed."""
 
 import asyncio
 import pathlib
+import signal
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 
 import standins
 
-SILENT_S = 4.5
-CONFIG_APPLY_S = 3.0
-# The balancers have a change at once, and watch again 0.25 s later.
-DELIVERY_S = 0.1
-# At one attempt in half a second.
-ATTEMPTS = 50
+LOST = 9
+# Its name sorts before that of the lost machine: side-abay-10, side-abay-9.
+NEW = 10
+# Not before `reuse_delay_s` is an address used again.
+REUSE_S = 3.0
+KNOWN_S = 3.0
+# Time from the ack of "draining" to the end of the replaced endpoint.
+DRAIN_S = standins.DRAIN_MS / 1000 + 1.0
+RECOVERY_S = 12.0
+RESTART_S = 2.0
+ATTEMPTS = 20
+PAUSE_S = 0.4
+# Share of the requests below which nothing has recovered.
+SHARE = 0.25
 
 
-async def play(case: standins.Case) -> bool:
-    """Returns True if a route was refused long after its ack."""
-    await case.start(
-        case.desired_state(7, {1: "rounds"}), 2, {1: "rounds", 2: "rounds"}
-    )
-    routes = {1: "rounds", 2: "rounds"}
-    await case.store.put("config", "main", case.desired_state(9, routes))
-    await asyncio.sleep(DELIVERY_S)
-    case.store.silent = case.trouble
-    case.record.note("store-silent", on=case.trouble)
-    await asyncio.sleep(SILENT_S)
-    case.store.silent = False
-    case.record.note("store-back")
-    await asyncio.sleep(standins.STABLE_WINDOW_S + 0.5)
-    routes[3] = "rounds"
-    await case.store.put("config", "main", case.desired_state(12, routes))
-    acked_at = case.record.now()
-    await asyncio.sleep(CONFIG_APPLY_S + 0.5)
-    refused = 0
-    last_s = 0.0
+async def served_share(case: standins.Case, phase: str) -> float:
+    """Returns the share of some requests of rounds that are served."""
+    served = 0
     for number in range(ATTEMPTS):
-        flow = case.client.flow(case.route(3))
-        sent_at = case.record.now()
+        flow = case.client.flow(case.route())
         if await flow.connect():
-            await flow.request(f"a{number}")
-        elif flow.resets:
-            refused += 1
-            last_s = sent_at - acked_at
-        await asyncio.sleep(0.5)
-    case.record.note(
-        "refused",
-        count=refused,
-        of=ATTEMPTS,
-        until_after_ack_s=round(last_s, 1),
-    )
-    return refused > 0
+            answer = await flow.request(f"{phase}{number}")
+            served += answer == "answer"
+        await asyncio.sleep(PAUSE_S)
+    case.record.note("served", phase=phase, count=served, of=ATTEMPTS)
+    return served / ATTEMPTS
+
+
+async def replace_endpoint(case: standins.Case, ip: str) -> None:
+    """Replaces the endpoint of rounds by one on a new machine."""
+    old = case.endpoints[0]
+    new = standins.Machine(case, "agent", NEW, "rounds", ip, first=False)
+    case.agents.append(new)
+    await new.start()
+    await case.start_endpoint(new)
+    await asyncio.sleep(KNOWN_S)
+    old.state = "draining"
+    await old.beat()
+    await asyncio.sleep(DRAIN_S)
+    path = f"/crocusmux/endpoints/{old.id}/deregister"
+    await standins.http("POST", old.machine.at("control"), path)
+    old.crash()
+    await old.machine.terminate(again=False)
+    case.agents.remove(old.machine)
+
+
+async def play(case: standins.Case) -> bool:
+    """Returns True if rounds is served before the final fault and not after."""
+    state = case.desired_state(7, {1: "rounds", 2: "wheelbook"})
+    services = {1: "rounds", 2: "wheelbook", LOST: "wheelbook"}
+    await case.start(state, 2, services)
+    lost = case.agents[-1]
+    case.endpoints[-1].crash()
+    await lost.kill()
+    case.agents.remove(lost)
+    case.record.note("lost-for-good", machine=lost.name, ip=lost.ip)
+    await asyncio.sleep(REUSE_S)
+    await replace_endpoint(case, lost.ip if case.trouble else "")
+    before = await served_share(case, "before")
+    if before < SHARE:
+        raise standins.CannotRunError("rounds was not served")
+    for machine in case.balancers + case.agents:
+        machine.signal(signal.SIGKILL)
+    await asyncio.sleep(RESTART_S + RECOVERY_S)
+    after = await served_share(case, "after")
+    case.record.note("records", agents=case.store.names("agents"))
+    return after < SHARE
 
 
 if __name__ == "__main__":
