Look up the holders of flows in the former services of their route

Cause: HolderResolver queried only the agents of the services to which the route leads now. They all denied the flow, and two denied searches and a new list count as proof that the flow is lost.

A route now remembers its former services until it is dropped, and a lookup covers them. A balancer that starts learns them from a peer, as the store has only the newest configuration. The agent of the former service is then asked, and claims the flow. Agents of services to which a route never led are not asked, since an uncertain agent's upstream is probed with the flow's packets.

--- a/crocusmux/core/forward/holder_resolver.py
+++ b/crocusmux/core/forward/holder_resolver.py
@@ -270,8 +270,8 @@
     def _possible_holders(
         self, lookup: holder_lookup.HolderLookup
     ) -> agent_table.ServiceAgents:
-        route = self._routes.find_route(lookup.probe_segment.key)
-        return self._agent_table.for_services(route.services() if route else ())
+        services = self._routes.possible_services(lookup.probe_segment.key)
+        return self._agent_table.for_services(services)
 
     def _on_holder_denial(
         self, now: float, message: reports.FlowDenied, flow: flow_table.Flow
--- a/crocusmux/core/forward/routes.py
+++ b/crocusmux/core/forward/routes.py
@@ -1,5 +1,6 @@
 """Routes, which map the addresses that callers use to services."""
 
+from collections.abc import Iterable
 import ipaddress
 
 import msgspec
@@ -59,18 +60,34 @@
     idle_s: float = DEFAULT_IDLE_S
 
 
+class FormerServices(msgspec.Struct, frozen=True):
+    """Services to which a route led under earlier configurations.
+
+    Attributes:
+        address: Address and port of the route.
+        services: Service names.
+    """
+
+    address: tuple[str, int]
+    services: tuple[str, ...]
+
+
 class RouteTable:
     """The configuration in force, with its routes by address.
 
+    A change of a route's services leaves its open flows where they are, so the
+    table remembers the former services of a route until the route is dropped.
+
     Attributes:
         configuration: The configuration; version 0 before the first.
     """
 
-    __slots__ = ("_by_address", "configuration")
+    __slots__ = ("_by_address", "_former_services", "configuration")
 
     def __init__(self) -> None:
         self.configuration = Configuration(0)
         self._by_address: dict[bytes, Route] = {}
+        self._former_services: dict[bytes, set[str]] = {}
 
     @property
     def version(self) -> int:
@@ -91,11 +108,66 @@
         if cfg.version <= self.version:
             return False
         self.configuration = cfg
+        before = self._by_address
         self._by_address = {
             encode_route_address(r.address): r for r in cfg.routes
         }
+        for address, route in before.items():
+            if address not in self._by_address:
+                self._former_services.pop(address, None)
+            else:
+                self._add_former_services(address, route.services())
         return True
 
+    def learn_former_services(
+        self, cfg: Configuration, former: Iterable[FormerServices]
+    ) -> None:
+        """Adds the former services of routes that a peer knows.
+
+        Args:
+            cfg: The configuration in force at the peer, which may be older.
+            former: Services under still earlier configurations.
+
+        Raises:
+            ValueError: An address is malformed.
+        """
+        for entry in former:
+            address = encode_route_address(entry.address)
+            self._add_former_services(address, entry.services)
+        if cfg.version < self.version:
+            for route in cfg.routes:
+                address = encode_route_address(route.address)
+                self._add_former_services(address, route.services())
+
+    def _add_former_services(
+        self, address: bytes, services: Iterable[str]
+    ) -> None:
+        route = self._by_address.get(address)
+        if route is not None and not set(services) <= set(route.services()):
+            known = self._former_services.setdefault(address, set())
+            known.update(services)
+
+    def former_services(self) -> tuple[FormerServices, ...]:
+        """Returns the former services of all routes that had others."""
+        return tuple(
+            FormerServices(
+                self._by_address[address].address, tuple(sorted(services))
+            )
+            for address, services in self._former_services.items()
+        )
+
+    def possible_services(self, key: bytes) -> tuple[str, ...]:
+        """Returns the services that may hold a flow, present ones first.
+
+        Empty if the flow key has no route.
+        """
+        route = self.find_route(key)
+        if route is None:
+            return ()
+        present = route.services()
+        former = self._former_services.get(key[6:], set())
+        return present + tuple(sorted(former.difference(present)))
+
     def find_route(self, key: bytes) -> Route | None:
         """Returns the route of a flow key; None if there is none."""
         return self._by_address.get(key[6:])
--- a/crocusmux/daemons/forward_balancer.py
+++ b/crocusmux/daemons/forward_balancer.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import itertools
 import logging
 import random
 
@@ -37,6 +38,9 @@
 CONFIG_BATCH_DELAY_S = 0.25
 # Interval between attempts to get the state of a peer at the start.
 SEED_INTERVAL_S = 0.5
+# Attempts to learn the former services of routes once the store has answered.
+# All peers may be starting as well, and then nobody knows them.
+MAX_HISTORY_ATTEMPTS = 10
 # A balancer leaves the rotation after two failed readiness checks, which take a
 # second; it forwards segments somewhat longer.
 DRAIN_S = 3.0
@@ -65,6 +69,7 @@
         self._own_source = source
         self._stopping = False
         self._stale_since: float | None = None
+        self._knows_former_services = cfg.first_start
         self._list_task: asyncio.Task | None = None
         self._tasks: set[asyncio.Task] = set()
         self._fetch_http = http.make_fetch()
@@ -197,13 +202,39 @@
         return names
 
     async def _seed_from_peers(self) -> None:
-        """Fetches the state of peers until the store has answered."""
-        while not self._store_answered():
+        """Fetches the state of peers.
+
+        Until the store has answered it is needed to serve at all.  Later it
+        still tells the former services of routes, which the store has not.
+        """
+        for attempt in itertools.count():
             await asyncio.sleep(SEED_INTERVAL_S)
             for ip, port in self._cfg.seeds:
                 source = f"{ip}:{port}"
-                if source != self._own_source and not self._store_answered():
+                if source != self._own_source and not self._seeded(attempt):
                     await self._fetch_state(source)
+            if self._seeded(attempt):
+                return
+
+    def _seeded(self, attempt: int) -> bool:
+        """Returns True if no peer needs to be asked any more."""
+        return self._store_answered() and (
+            self._knows_former_services or attempt >= MAX_HISTORY_ATTEMPTS
+        )
+
+    def _learn_former_services(
+        self, state: forwarding.PeerState, source: str
+    ) -> None:
+        try:
+            self.core.routes.learn_former_services(
+                state.config, state.former_services
+            )
+        except ValueError as exc:
+            self._messenger.record_bad_input(exc, source)
+            return
+        # A peer without a configuration has no history to tell.
+        if state.config.version:
+            self._knows_former_services = True
 
     def _store_answered(self) -> bool:
         """Returns True once both kinds of objects have been listed."""
@@ -223,6 +254,7 @@
             self._messenger.record_bad_input(exc, source)
             return
         self._execute(self.core.configure(state.config))
+        self._learn_former_services(state, source)
         if not self._agent_follower.listed:
             for record in state.agents:
                 self._execute(self.core.add_agent(self._loop.time(), record))
@@ -259,7 +291,9 @@
         agents = self.core.agent_table.all()
         reporting = [x.record for x in agents if x.report is not None]
         return forwarding.PeerState(
-            self.core.routes.configuration, tuple(reporting)
+            self.core.routes.configuration,
+            tuple(reporting),
+            self.core.routes.former_services(),
         )
 
 
--- a/crocusmux/forwarding.py
+++ b/crocusmux/forwarding.py
@@ -183,7 +183,10 @@
     Attributes:
         config: The configuration in force.
         agents: Agents that have reported to the sender.
+        former_services: Former services of routes; a peer of an older release
+            sends none.
     """
 
     config: routes.Configuration
     agents: tuple[upstreams.AgentRecord, ...]
+    former_services: tuple[routes.FormerServices, ...] = ()
--- a/features/balancer_sample.py
+++ b/features/balancer_sample.py
@@ -27,9 +27,9 @@
     return upstreams.AgentRecord(host, service, domain, (ip, 8172), control)
 
 
-def configuration(version, with_routes=True):
+def configuration(version, with_routes=True, service="rounds"):
     route = routes.Route(
-        "bookings", ROUNDS, (("rounds", 1),), 2.0, 0.2, 1, False
+        "bookings", ROUNDS, ((service, 1),), 2.0, 0.2, 1, False
     )
     return routes.Configuration(version, (route,) if with_routes else ())
 
@@ -96,7 +96,7 @@
     return [host_at(context, o.to) for o in offers(context.outs)]
 
 
-def start(context, domain="abay"):
+def start(context, domain="abay", cfg=None):
     context.now = 100.0
     context.sequence = 1
     context.outs = []
@@ -104,7 +104,7 @@
     context.core = balancer.ForwardingBalancer(
         "edge-1", domain, BALANCER_ADDRESS, "10.0.0.9:8166", random.Random(1)
     )
-    context.core.configure(configuration(5))
+    context.core.configure(cfg or configuration(5))
 
 
 def report_all(context, hosts, **changes):
@@ -118,9 +118,9 @@
     return outs
 
 
-def start_with_agents(context):
+def start_with_agents(context, cfg=None):
     """Starts with the agents a, b, c of rounds and d of wheelbook."""
-    start(context)
+    start(context, cfg=cfg)
     for number, host in enumerate("abcd", 1):
         service = "wheelbook" if host == "d" else "rounds"
         context.core.add_agent(
--- a/features/forward_balancer.feature
+++ b/features/forward_balancer.feature
@@ -30,6 +30,38 @@
     And agents a, c deny the flow
     Then the caller gets no reset
 
+  # Guards against fault FLOW (a): a balancer that looked only among the agents
+  # of the route's present service reset the open flows of the former one.
+  Scenario: The holder of a flow is looked up in its route's former services
+    Given a balancer with the agents a, b, c of rounds and d of wheelbook
+    When the route moves to wheelbook in version 6
+    And a segment of an unknown flow to rounds arrives
+    Then the agents a, b, c, d are queried for it
+    When agents a, c, d deny the flow
+    And 0.1 s pass
+    And agents a, c, d deny the flow
+    Then the caller gets no reset
+    When agent b replies that it holds the flow
+    And the caller sends 3 segments
+    Then they all go to agent b
+
+  # Guards against fault FLOW (a) at a balancer that started after the change, or
+  # whose peer still has the configuration from before it.
+  Scenario: A balancer learns the former services of a route from a peer
+    Given a balancer that started after its route moved to wheelbook
+    When a peer with version 5 of rounds shares its state
+    And a segment of an unknown flow to rounds arrives
+    Then the agents a, b, c, d are queried for it
+
+  # Guards against lookups among services that a dropped route once led to.
+  Scenario: A dropped route has no former services
+    Given a balancer with the agents a, b, c of rounds and d of wheelbook
+    When the route moves to wheelbook in version 6
+    And a configuration of version 7 without routes arrives
+    And the route moves to wheelbook in version 8
+    And a segment of an unknown flow to rounds arrives
+    Then only agent d is queried for it
+
   # Guards against callers that wait for a flow whose host lost power: no agent
   # holds it any more.
   Scenario: A flow that all agents deny twice is reset
--- a/features/steps/forward_balancer_steps.py
+++ b/features/steps/forward_balancer_steps.py
@@ -20,6 +20,13 @@
     balancer_sample.start_with_agents(context)
 
 
+@given("a balancer that started after its route moved to wheelbook")
+def balancer_after_move(context):
+    balancer_sample.start_with_agents(
+        context, balancer_sample.configuration(6, service="wheelbook")
+    )
+
+
 @given("a balancer with {count:d} agents of rounds")
 def balancer_with_many(context, count):
     balancer_sample.start(context)
@@ -173,6 +180,27 @@
     )
 
 
+@when("the route moves to {service} in version {version:d}")
+def move_route(context, service, version):
+    context.core.configure(
+        balancer_sample.configuration(version, service=service)
+    )
+
+
+@when("a configuration of version {version:d} without routes arrives")
+def drop_all_routes(context, version):
+    context.core.configure(
+        balancer_sample.configuration(version, with_routes=False)
+    )
+
+
+@when("a peer with version {version:d} of rounds shares its state")
+def peer_state(context, version):
+    context.core.routes.learn_former_services(
+        balancer_sample.configuration(version), ()
+    )
+
+
 @when("an agent e of wheelbook announces itself at the address of a")
 def reused_address(context):
     context.core.add_agent(
--- a/features/steps/forward_path_steps.py
+++ b/features/steps/forward_path_steps.py
@@ -148,9 +148,9 @@
     return context.loop.advance_until(condition, POLL_INTERVAL_S, limit)
 
 
-def publish_routes(context, version, ports):
+def publish_routes(context, version, ports, service="rounds"):
     state = wire.desired_state()
-    base = state["routes"][0]
+    base = {**state["routes"][0], "service": service}
     state["version"] = version
     state["routes"] = [
         {**base, "name": f"r{port}", "path_prefix": f"/{port}/"}
@@ -317,6 +317,30 @@
     publish_routes(context, 2, [8443, port])
 
 
+@when("the operator moves the route to wheelbook")
+def move_route(context):
+    publish_routes(context, 2, [8443], "wheelbook")
+    wait_until(
+        context, lambda: context.daemons["balancer", 1].core.routes.version == 2
+    )
+
+
+@when("the caller acknowledges it through balancer {number:d}")
+def acknowledge(context, number):
+    ack = context.answer.seq + 1
+    send(context, number, 101, ack, wire.FLAGS["ACK"])
+    holder = context.upstreams[ack - BASE_SEQ]
+    wait_until(context, lambda: holder.held_flows)
+
+
+@when("balancer 3 starts again with balancer 1 as its seed")
+def restart_third(context):
+    context.first_start = False
+    core = start_daemon(context, "balancer", 3).core
+    wait_until(context, core.routes.former_services)
+    wait_until(context, core.ready)
+
+
 @when("the operator drops all routes")
 def drop_routes(context):
     publish_routes(context, 2, [])
--- a/features/steps/holder_lookup_steps.py
+++ b/features/steps/holder_lookup_steps.py
@@ -229,6 +229,12 @@
     assert sorted(balancer_sample.hosts_queried(context)) == ["a", "b", "c"]
 
 
+@then("the agents a, b, c, d are queried for it")
+def all_agents_queried(context):
+    hosts = sorted(balancer_sample.hosts_queried(context))
+    assert hosts == ["a", "b", "c", "d"], hosts
+
+
 @then("both offered agents are probed for it")
 def offered_probed(context):
     sent = [o for o in context.outs if isinstance(o, outputs.ToAgent)]
@@ -308,6 +314,12 @@
     assert all(o.mark == segments.MARK_PROBE for o in sent)
 
 
+@then("only agent {host} is queried for it")
+def only_one_queried(context, host):
+    hosts = balancer_sample.hosts_queried(context)
+    assert hosts == [host], hosts
+
+
 @then("agent {host} is queried for it")
 def one_queried(context, host):
     assert host in balancer_sample.hosts_queried(context), (
