Withdraw an agent's record only if its revision is the one written

Cause: the deletion had no condition. A condition on the revision alone would not help, as a restarted agent wrote the same contents, and a write that changes nothing keeps the revision.

The new scenario "A late deletion does not remove the record of a restarted agent" failed before the fix: the store listed one agent of two.

Records now carry the agent's incarnation, so each run writes another revision, and the deletion names the revision that the same run wrote. A late deletion then fails its condition. Balancers take a record that differs by the incarnation alone for the same agent and keep its load. Records of older releases have incarnation 0.

The store stand-in of the tests now checks conditions, returns the written object and keeps the revision of unchanged contents, as the platform documents. Daemons of the tests draw other random numbers at each start.

--- a/crocusmux/core/forward/agent_table.py
+++ b/crocusmux/core/forward/agent_table.py
@@ -120,10 +120,11 @@
         """Adds an agent or replaces its record.
 
         Returns:
-            The agent; None if nothing changed.
+            The agent; None if nothing changed but its incarnation.
         """
         previous = self._by_host.get(record.host)
-        if previous is not None and previous.record == record:
+        if previous is not None and previous.record.same_agent(record):
+            previous.record = record
             return None
         self.remove(record.host)
         # Two agents cannot share an address; the newer record replaces the old.
--- a/crocusmux/core/forward/upstreams.py
+++ b/crocusmux/core/forward/upstreams.py
@@ -40,6 +40,11 @@
         failure_domain: Failure domain of the host.
         address: Address of the agent for segments.
         control: Address of the agent for messages.
+        incarnation: Random number of the agent incarnation that announced
+            itself; 0 in records of older releases.  A write that changes
+            nothing keeps an object's revision, so without it a restarted agent
+            would leave the revision on which its predecessor's deletion
+            depends.
     """
 
     host: str
@@ -47,11 +52,17 @@
     failure_domain: str
     address: tuple[str, int]
     control: tuple[str, int]
+    incarnation: int = 0
 
     def __post_init__(self) -> None:
         addresses.check(self.address)
         addresses.check(self.control)
 
+    def same_agent(self, other: "AgentRecord") -> bool:
+        """Returns True if the records differ at most by the incarnation."""
+        renewed = msgspec.structs.replace(other, incarnation=self.incarnation)
+        return self == renewed
+
 
 class Upstream:
     """An agent and its upstream.
--- a/crocusmux/daemons/forward_agent.py
+++ b/crocusmux/daemons/forward_agent.py
@@ -50,9 +50,11 @@
         self._adapter = adapter
         self._loop = asyncio.get_running_loop()
         self._rng = rng
-        incarnation = rng.getrandbits(32)
+        self._incarnation = rng.getrandbits(32)
+        # Revision of the own announcement in the store; None until it is known.
+        self._record_revision: int | None = None
         self.core = agent.ForwardingAgent(
-            cfg.host, cfg.service, incarnation, cfg.heartbeat_s
+            cfg.host, cfg.service, self._incarnation, cfg.heartbeat_s
         )
         self._tasks: set[asyncio.Task] = set()
         self._messenger = forward.Messenger(
@@ -160,12 +162,13 @@
             failure_domain=cfg.failure_domain,
             address=cfg.segments,
             control=cfg.messages,
+            incarnation=self._incarnation,
         )
         spec = msgspec.json.encode(record)
         failures = 0
         while True:
             try:
-                await self._write_record(spec)
+                self._record_revision = await self._write_record(spec)
             except errors.PlatformError as exc:
                 if failures == 0:
                     logger.warning("event=announce-failed error=%r", str(exc))
@@ -176,30 +179,39 @@
                 logger.info("event=announced failures=%d", failures)
                 return
 
-    async def _write_record(self, spec: bytes) -> None:
+    async def _write_record(self, spec: bytes) -> int:
         """Creates or replaces the record, by the call that likely succeeds.
 
+        Returns its revision.
+
         A restarted agent replaces the record that it finds: the host keeps its
         addresses, but its service may have changed.
         """
         store, kind = self._adapter.store, self._adapter.agent_kind
         if not self._cfg.first_start:
             try:
-                await store.replace(kind, self._cfg.host, spec)
+                return await store.replace(kind, self._cfg.host, spec)
             except errors.NotFoundError:
                 logger.info("event=no-record outcome=create")
-            else:
-                return
         try:
-            await store.create(kind, self._cfg.host, spec)
+            return await store.create(kind, self._cfg.host, spec)
         except errors.ConflictError:
-            await store.replace(kind, self._cfg.host, spec)
+            return await store.replace(kind, self._cfg.host, spec)
 
     async def _withdraw(self) -> None:
+        """Deletes the record that this incarnation has written.
+
+        The store may apply the deletion after the agent's next start, whose
+        record has another revision and remains.
+        """
+        revision = self._record_revision
+        if revision is None:
+            logger.info("event=not-withdrawn reason=not-announced")
+            return
         store, kind = self._adapter.store, self._adapter.agent_kind
         try:
             await asyncio.wait_for(
-                store.delete(kind, self._cfg.host), WITHDRAW_TIMEOUT_S
+                store.delete(kind, self._cfg.host, revision), WITHDRAW_TIMEOUT_S
             )
         except (errors.PlatformError, TimeoutError) as exc:
             logger.warning("event=withdraw-failed error=%r", str(exc))
--- a/crocusmux/forwarding.py
+++ b/crocusmux/forwarding.py
@@ -114,22 +114,29 @@
             None if the store has dropped the changes since that revision.
         """
 
-    async def create(self, kind: str, name: str, spec: bytes) -> None:
-        """Creates an object.
+    async def create(self, kind: str, name: str, spec: bytes) -> int:
+        """Creates an object and returns its revision.
 
         Raises:
             errors.ConflictError: The object exists already.
         """
 
-    async def replace(self, kind: str, name: str, spec: bytes) -> None:
-        """Replaces the contents of an object.
+    async def replace(self, kind: str, name: str, spec: bytes) -> int:
+        """Replaces the contents of an object and returns its revision.
 
         Raises:
             errors.NotFoundError: The object does not exist.
         """
 
-    async def delete(self, kind: str, name: str) -> None:
-        """Deletes an object if it exists."""
+    async def delete(self, kind: str, name: str, revision: int) -> None:
+        """Deletes an object if it exists.
+
+        A call that gets no response may take effect seconds later, so the
+        condition on the revision holds then as well.
+
+        Raises:
+            errors.ConflictError: The object has another revision.
+        """
 
 
 class Deregistration(msgspec.Struct, frozen=True):
--- a/crocusmux/objectapi/http.py
+++ b/crocusmux/objectapi/http.py
@@ -84,6 +84,8 @@
                 follow_redirects=False,
                 connect_timeout=timeout_s,
                 request_timeout=timeout_s,
+                # Otherwise tornado refuses the body of a conditional DELETE.
+                allow_nonstandard_methods=method == "DELETE",
             )
             # On cancellation the request continues in the background, because
             # tornado logs an error if the future of a request is cancelled.
--- a/crocusmux/platform/store.py
+++ b/crocusmux/platform/store.py
@@ -97,19 +97,26 @@
             tuple(name for name, item in changed.items() if item is None),
         )
 
-    async def create(self, kind: str, name: str, spec: bytes) -> None:
+    async def create(self, kind: str, name: str, spec: bytes) -> int:
         """See ``forwarding.Store``."""
-        self._check(await self._call("POST", kind, _encode(name, spec)), kind)
+        return await self._write("POST", kind, _encode(name, spec))
 
-    async def replace(self, kind: str, name: str, spec: bytes) -> None:
+    async def replace(self, kind: str, name: str, spec: bytes) -> int:
         """See ``forwarding.Store``."""
         path = f"{kind}/{urllib.parse.quote(name)}"
-        self._check(await self._call("PUT", path, _encode(name, spec)), path)
+        return await self._write("PUT", path, _encode(name, spec))
 
-    async def delete(self, kind: str, name: str) -> None:
+    async def _write(self, method: str, path: str, body: bytes) -> int:
+        answer = await self._call(method, path, body)
+        written: _Object = self._decode(answer, _Object, path)
+        return written.meta.rev
+
+    async def delete(self, kind: str, name: str, revision: int) -> None:
         """See ``forwarding.Store``."""
         path = f"{kind}/{urllib.parse.quote(name)}"
-        answer = await self._call("DELETE", path)
+        condition = {"meta": {"name": name, "rev": revision}}
+        body = msgspec.json.encode(condition)
+        answer = await self._call("DELETE", path, body)
         if answer.status != calls.NOT_FOUND:
             self._check(answer, path)
 
@@ -138,14 +145,16 @@
         cls = classes.get(answer.status, errors.PlatformUnavailableError)
         raise cls(f"status {answer.status}", step=path, peer=self._peer)
 
-    def _decode(self, answer: calls.Response, kind: Any) -> Any:
-        self._check(answer, "list or watch")
+    def _decode(
+        self, answer: calls.Response, kind: Any, step: str = "list or watch"
+    ) -> Any:
+        self._check(answer, step)
         try:
             return msgspec.json.decode(answer.body, type=kind)
         except msgspec.DecodeError as exc:
             raise errors.PlatformUnavailableError(
                 f"response is malformed: {exc}",
-                step="list or watch",
+                step=step,
                 peer=self._peer,
             ) from exc
 
--- a/features/forward_path.feature
+++ b/features/forward_path.feature
@@ -97,6 +97,23 @@
     When 20 callers open flows through balancer 1
     Then upstream 1 gets none of them
 
+  # Guards against fault FLOW (a): the store applied the deletion of a stopped
+  # agent seconds later, and it removed the record of the agent's next run for
+  # good, so all flows of that agent were reset.
+  Scenario: A late deletion does not remove the record of a restarted agent
+    Given a store with a route to rounds, 2 balancers and 2 agents of rounds
+    When the store delays the deletion of the record of agent 1
+    And the agent of host 1 starts again before the deletion is applied
+    Then the store lists 2 agents
+
+  # Guards against balancers that take a restarted agent for a new one and
+  # forget its load, as only the incarnation in its record has changed.
+  Scenario: A restarted agent keeps its place in the balancers' tables
+    Given a store with a route to rounds, 2 balancers and 2 agents of rounds
+    When the agent of host 1 is replaced by a new one
+    And 2 s pass on all hosts
+    Then balancer 1 has the new incarnation of agent 1 and its last report
+
   # Guards against fault FLOW (a): an upstream that drained still served a slow
   # upload when its agent was told to stop.  The agent withdrew at once, all
   # others denied the flow, and a balancer reset it (large, small twin of
--- a/features/steps/forward_path_steps.py
+++ b/features/steps/forward_path_steps.py
@@ -116,13 +116,14 @@
 
 def start_daemon(context, role, number):
     cfg = settings(context, role, number)
+    context.daemon_starts = getattr(context, "daemon_starts", 0) + 1
+    # Each start draws other numbers, as a real one does.
+    rng = random.Random(context.daemon_starts)
     module = forward_balancer if role == "balancer" else forward_agent
     daemon_class = getattr(module, role.capitalize() + "ForwardingDaemon")
 
     async def create():
-        daemon = daemon_class(
-            cfg, platform_main.make_adapter(cfg), random.Random(number)
-        )
+        daemon = daemon_class(cfg, platform_main.make_adapter(cfg), rng)
         await daemon.start()
         return daemon
 
@@ -404,6 +405,8 @@
 
 
 def replace_first_agent(context):
+    table = context.daemons["balancer", 1].core.agent_table
+    context.known_agent = table.get("agent-1")
     kill_daemon(context, "agent", 1)
     context.first_start = False
     start_daemon(context, "agent", 1)
@@ -420,6 +423,16 @@
     replace_first_agent(context)
 
 
+@then("balancer 1 has the new incarnation of agent 1 and its last report")
+def incarnation_updated(context):
+    table = context.daemons["balancer", 1].core.agent_table
+    upstream = table.get("agent-1")
+    agent = context.daemons["agent", 1]
+    assert upstream.record.incarnation == agent._incarnation
+    assert upstream is context.known_agent
+    assert upstream.report is not None
+
+
 @then("the agents have written to the store {count:d} times")
 def check_writes(context, count):
     calls = [call for call in context.standin.calls if call[0] != "GET"]
@@ -433,6 +446,25 @@
     context.loop.run_until_complete(daemon.stop())
 
 
+@when("the store delays the deletion of the record of agent 1")
+def delayed_withdrawal(context):
+    context.standin.delay_deletes = True
+    agent_leaves(context)
+    kill_daemon(context, "agent", 1)
+    assert context.standin.delayed
+
+
+@when("the agent of host 1 starts again before the deletion is applied")
+def restart_before_deletion(context):
+    context.standin.delay_deletes = False
+    context.first_start = False
+    calls = context.standin.calls
+    calls.clear()
+    start_daemon(context, "agent", 1)
+    wait_until(context, lambda: any(method == "PUT" for method, _ in calls))
+    context.standin.apply_delayed()
+
+
 @then("the store lists {count:d} agents")
 def check_agent_count(context, count):
     kinds = [kind for kind, _ in context.standin.objects]
--- a/features/store_standin.py
+++ b/features/store_standin.py
@@ -18,6 +18,8 @@
         calls: Method and path of each request.
         forced_status: HTTP status that rejects all requests; 0 for none.
         lost_responses: Number of next writes that are applied unanswered.
+        delay_deletes: True if deletions stay unanswered until they are applied
+            by ``apply_delayed``.
         rejected_ips: Client addresses that are rejected with status 503.
         rejected_kinds: Kinds whose requests are rejected with status 503.
         oldest_revision: First revision whose change is still in the history.
@@ -27,6 +29,8 @@
         self.calls = []
         self.forced_status = 0
         self.lost_responses = 0
+        self.delay_deletes = False
+        self.delayed = []
         self.oldest_revision = 0
         self.rejected_ips = set()
         self.rejected_kinds = set()
@@ -86,20 +90,37 @@
         if req.method == "GET":
             return self.list_objects(req, kind)
         body = json.loads(req.body or b"null")
+        if self.delay_deletes and req.method == "DELETE":
+            self.delayed.append((req.method, kind, name, body))
+            return req.connection.detach().close()
         status = self.write_object(req.method, kind, name, body)
         if self.lost_responses:
             self.lost_responses -= 1
             return req.connection.detach().close()
-        return self.respond(req, status)
+        name = name or body["meta"]["name"]
+        return self.respond(req, status, self.objects.get((kind, name)))
+
+    def apply_delayed(self):
+        """Applies the delayed writes, if their conditions still hold."""
+        for write in self.delayed:
+            self.write_object(*write)
+        self.delayed.clear()
 
     def write_object(self, method, kind, name, body):
+        meta = (body or {}).get("meta", {})
+        name = name or meta["name"]
+        known = self.objects.get((kind, name))
+        if (known is not None) == (method == "POST"):
+            return 409 if known else 404
+        if (
+            known
+            and meta.get("rev", known["meta"]["rev"]) != (known["meta"]["rev"])
+        ):
+            return 409
         if method == "DELETE":
-            return 200 if self.delete(kind, name) else 404
-        name = name or body["meta"]["name"]
-        exists = (kind, name) in self.objects
-        if exists == (method == "POST"):
-            return 409 if exists else 404
-        self.put(kind, name, body["spec"])
+            self.delete(kind, name)
+        elif known is None or known["spec"] != body["spec"]:
+            self.put(kind, name, body["spec"])
         return 200
 
     def list_objects(self, req, kind):
