Keep the current boot of an upstream while its heartbeats arrive

Cause: two heartbeats in a row of an earlier boot, which a partition had delayed, replaced a boot that drained and still reported in time. The rule of two heartbeats is meant for clocks that jump back, where the former boot is dead.

Evidence: the scenario "Late heartbeats of an earlier boot do not end a drain" failed before the change.

An earlier boot now replaces the current one after two heartbeats only if that one has missed a heartbeat. A live boot reports in every interval, so late heartbeats of its predecessor no longer count.

--- a/crocusmux/core/forward/heartbeats.py
+++ b/crocusmux/core/forward/heartbeats.py
@@ -38,7 +38,8 @@
     Clocks jump, so ``born_ms`` identifies a boot but does not always order two
     boots.  A heartbeat with an earlier ``born_ms`` may have been delayed, so
     its boot replaces the current one only if that is overdue, or after two
-    heartbeats of the other boot in a row.
+    heartbeats of the other boot in a row while the current one missed its own:
+    a partition may delay several heartbeats of an earlier boot.
 
     Attributes:
         current: Newest heartbeat of the current boot; None before the first.
@@ -127,6 +128,7 @@
             previous is not None
             and same_boot(previous, beat)
             and beat.sequence > previous.sequence
+            and self.missed_heartbeat(now)
         )
 
 
--- a/features/heartbeats.feature
+++ b/features/heartbeats.feature
@@ -24,6 +24,14 @@
     And 1 s later a heartbeat of boot 500 with sequence 1 says ready
     Then it counts and the upstream is ready
 
+  # Guards against fault DRAIN: two heartbeats of an earlier boot that a partition
+  # had delayed made a draining upstream accept new flows again.
+  Scenario: Late heartbeats of an earlier boot do not end a drain
+    Given an upstream of boot 1000 with sequence 5 that is draining
+    When 0 s later a heartbeat of boot 500 with sequence 8 says ready
+    And 1 s later a heartbeat of boot 500 with sequence 9 says ready
+    Then it does not count and the upstream is draining
+
   # Guards against an upstream id that is used again after a restart.
   Scenario: A new boot may restart its sequence
     Given an upstream of boot 1000 with sequence 5 that is ready
