Order the records of one address by their revision

Cause: a host that is gone for good leaves its record in the store. Another host may use its address again. A balancer let each record replace the one with the same address, but a list comes in the order of names, so the record of the lost host could hide the live one.

Evidence: the scenarios "The newest record of an address counts in any order" and "An older record of a host changes nothing" fail without the change, as a record had no revision.

Agents are now registered with the revision of their record in the store, and an older record replaces no newer one of the same host or address. Revisions only rise, so the order of a list or a stale watch no longer matters. Records from peers have no revision and count as older.

--- a/crocusmux/core/forward/agent_table.py
+++ b/crocusmux/core/forward/agent_table.py
@@ -115,21 +115,38 @@
         return len(self._by_host)
 
     def register(
-        self, now: float, record: upstreams.AgentRecord
+        self, now: float, record: upstreams.AgentRecord, revision: int = 0
     ) -> upstreams.Upstream | None:
         """Adds an agent or replaces its record.
 
+        Two agents cannot share an address.  A host that is gone for good leaves
+        its record in the store, and a list is in the order of names, so the
+        revisions tell which record of an address is the newer one.
+
+        Args:
+            now: Time in seconds.
+            record: The agent's announcement.
+            revision: Its revision in the store; 0 if it comes from a peer.
+
         Returns:
-            The agent; None if nothing changed but its incarnation.
+            The agent; None if nothing changed but its incarnation, or if a
+            newer record of the host or the address is known.
         """
         previous = self._by_host.get(record.host)
+        same_address = self._by_host.get(
+            self._by_address.get(record.address, "")
+        )
+        for known in (previous, same_address):
+            if known is not None and revision < known.revision:
+                return None
         if previous is not None and previous.record.same_agent(record):
             previous.record = record
+            previous.revision = revision
             return None
         self.remove(record.host)
-        # Two agents cannot share an address; the newer record replaces the old.
-        self.remove(self._by_address.get(record.address, ""))
-        upstream = upstreams.Upstream(now, record)
+        if same_address is not None:
+            self.remove(same_address.record.host)
+        upstream = upstreams.Upstream(now, record, revision)
         self._by_host[record.host] = upstream
         self._by_address[record.address] = record.host
         self._local_count += self.is_local(record)
--- a/crocusmux/core/forward/balancer.py
+++ b/crocusmux/core/forward/balancer.py
@@ -115,9 +115,14 @@
             *self._make_subscriptions(agents),
         ]
 
-    def add_agent(self, now: float, record: upstreams.AgentRecord) -> Outputs:
-        """Adds or replaces an agent, and subscribes to its reports."""
-        upstream = self.agent_table.register(now, record)
+    def add_agent(
+        self, now: float, record: upstreams.AgentRecord, revision: int = 0
+    ) -> Outputs:
+        """Adds or replaces an agent, and subscribes to its reports.
+
+        The arguments are those of ``AgentTable.register``.
+        """
+        upstream = self.agent_table.register(now, record, revision)
         if upstream is None:
             return []
         detail = f"agent={record.host} service={record.service}"
--- a/crocusmux/core/forward/upstreams.py
+++ b/crocusmux/core/forward/upstreams.py
@@ -69,6 +69,7 @@
 
     Attributes:
         record: The agent's announcement.
+        revision: Revision of that record in the store; 0 if it is unknown.
         added_at: Time at which the agent was added, seconds.
         tag: Hash of the service name, as sent with segments.
         report: The newest load report; None before the first.
@@ -86,12 +87,16 @@
         "record",
         "report",
         "reported_at",
+        "revision",
         "tag",
         "unreported_offers",
     )
 
-    def __init__(self, now: float, record: AgentRecord) -> None:
+    def __init__(
+        self, now: float, record: AgentRecord, revision: int = 0
+    ) -> None:
         self.record = record
+        self.revision = revision
         self.added_at = now
         self.tag = service_tag(record.service)
         self.report: reports.LoadReport | None = None
--- a/crocusmux/daemons/forward_balancer.py
+++ b/crocusmux/daemons/forward_balancer.py
@@ -198,7 +198,7 @@
             except msgspec.DecodeError as exc:
                 self._messenger.record_bad_input(exc, item.name)
                 continue
-            self._execute(self.core.add_agent(now, record))
+            self._execute(self.core.add_agent(now, record, item.revision))
         return names
 
     async def _seed_from_peers(self) -> None:
--- a/features/forward_balancer.feature
+++ b/features/forward_balancer.feature
@@ -239,6 +239,26 @@
     And a caller opens a flow to rounds
     Then the caller gets a reset
 
+  # Guards against faults FLOW (a) and RECOVER: the record of a host that was gone
+  # for good hid the agent that used its address again, as a list is in the order
+  # of names.
+  Scenario Outline: The newest record of an address counts in any order
+    Given a balancer with the agents a, b, c of rounds and d of wheelbook
+    When the store lists at one address x of rounds at revision <x> and y of wheelbook at revision <y>
+    Then of these two only <host> is known
+
+    Examples:
+      | x  | y  | host |
+      | 30 | 20 | x    |
+      | 20 | 30 | y    |
+
+  # Guards against a stale watch that brings back an earlier record of a host.
+  Scenario: An older record of a host changes nothing
+    Given a balancer with the agents a, b, c of rounds and d of wheelbook
+    When agent x is listed as of rounds at revision 30
+    And agent x is listed as of wheelbook at revision 20
+    Then agent x is of rounds
+
   # Guards against offers to an agent whose address another service now uses.
   Scenario: Another service at a known address replaces its agent
     Given a balancer with the agents a, b, c of rounds and d of wheelbook
--- a/features/steps/forward_balancer_steps.py
+++ b/features/steps/forward_balancer_steps.py
@@ -201,6 +201,38 @@
     )
 
 
+def list_agent(context, host, service, revision):
+    context.core.add_agent(
+        context.now,
+        balancer_sample.record(host, service, "10.0.1.9"),
+        revision,
+    )
+
+
+@when(
+    "the store lists at one address x of rounds at revision {first:d} and y of"
+    " wheelbook at revision {second:d}"
+)
+def list_two_at_address(context, first, second):
+    list_agent(context, "x", "rounds", first)
+    list_agent(context, "y", "wheelbook", second)
+
+
+@when("agent x is listed as of {service} at revision {revision:d}")
+def list_again(context, service, revision):
+    list_agent(context, "x", service, revision)
+
+
+@then("of these two only {host} is known")
+def one_of_two(context, host):
+    assert context.core.agent_table.hosts() & {"x", "y"} == {host}
+
+
+@then("agent x is of {service}")
+def service_of_x(context, service):
+    assert context.core.agent_table.get("x").record.service == service
+
+
 @when("an agent e of wheelbook announces itself at the address of a")
 def reused_address(context):
     context.core.add_agent(
