Let two heartbeats replace a boot of the same start time

The requirement is for boots with an earlier start time only, as equal ones (installations without the field) tell nothing about the order.

--- a/crocusmux/core/forward/heartbeats.py
+++ b/crocusmux/core/forward/heartbeats.py
@@ -39,7 +39,8 @@
     boots.  A heartbeat with an earlier ``born_ms`` may have been delayed, so
     its boot replaces the current one only if that is overdue, or after two
     heartbeats of the other boot in a row while the current one missed its own:
-    a partition may delay several heartbeats of an earlier boot.
+    a partition may delay several heartbeats of an earlier boot.  Between boots
+    of the same ``born_ms`` two heartbeats in a row suffice.
 
     Attributes:
         current: Newest heartbeat of the current boot; None before the first.
@@ -128,7 +129,7 @@
             previous is not None
             and same_boot(previous, beat)
             and beat.sequence > previous.sequence
-            and self.missed_heartbeat(now)
+            and (beat.born_ms == known.born_ms or self.missed_heartbeat(now))
         )
 
 
