Survive JSON and messages that are nested too deep

Cause: the decoder reports such input by RecursionError, and only DecodeError was caught; and it fails on the whole list, so catching it would hide all agents.

Evidence: the scenarios "An object that is nested too deep does not hide the others", "A heartbeat that is nested too deep is refused as malformed" and "A control message that is nested too deep is bad input" failed before with RecursionError.

Values beyond 64 levels are replaced by null before a document that the decoder refused is decoded again, so its other entries hold. Datagrams, peers' states, configurations and records that are too deep count as bad input.

--- a/crocusmux/daemons/forward.py
+++ b/crocusmux/daemons/forward.py
@@ -99,7 +99,7 @@
     def _on_datagram(self, data: bytes, sender: forwarding.Address) -> None:
         try:
             message = _decoder.decode(data)
-        except msgspec.DecodeError as exc:
+        except (msgspec.DecodeError, RecursionError) as exc:
             self.record_bad_input(exc, sender)
             return
         self._receive(message, sender)
--- a/crocusmux/daemons/forward_balancer.py
+++ b/crocusmux/daemons/forward_balancer.py
@@ -195,7 +195,7 @@
             names.add(item.name)
             try:
                 record = _record_decoder.decode(item.spec)
-            except msgspec.DecodeError as exc:
+            except (msgspec.DecodeError, RecursionError) as exc:
                 self._messenger.record_bad_input(exc, item.name)
                 continue
             self._execute(self.core.add_agent(now, record, item.revision))
@@ -250,7 +250,7 @@
             state = msgspec.msgpack.decode(
                 response.body, type=forwarding.PeerState
             )
-        except msgspec.DecodeError as exc:
+        except (msgspec.DecodeError, RecursionError) as exc:
             self._messenger.record_bad_input(exc, source)
             return
         self._execute(self.core.configure(state.config))
--- a/crocusmux/platform/configuration.py
+++ b/crocusmux/platform/configuration.py
@@ -44,7 +44,7 @@
     try:
         state = msgspec.json.decode(spec, type=_DesiredState)
         converted = tuple(_convert_route(route) for route in state.routes)
-    except (msgspec.DecodeError, ValueError) as exc:
+    except (msgspec.DecodeError, RecursionError, ValueError) as exc:
         raise errors.ObjectError(
             f"desired state is malformed: {exc}", step="decode configuration"
         ) from exc
--- a/crocusmux/platform/store.py
+++ b/crocusmux/platform/store.py
@@ -7,6 +7,7 @@
 
 from crocusmux import errors
 from crocusmux import forwarding
+from crocusmux import jsonlimits
 from crocusmux.core.control import calls
 from crocusmux.objectapi import http
 
@@ -150,7 +151,7 @@
     ) -> Any:
         self._check(answer, step)
         try:
-            return msgspec.json.decode(answer.body, type=kind)
+            return _decode_json(answer.body, kind)
         except msgspec.DecodeError as exc:
             raise errors.PlatformUnavailableError(
                 f"response is malformed: {exc}",
@@ -159,10 +160,22 @@
             ) from exc
 
 
+def _decode_json(data: bytes | msgspec.Raw, kind: Any) -> Any:
+    """Decodes JSON; one value that is nested too deep does not spoil the rest.
+
+    Raises:
+        msgspec.DecodeError: The document is malformed.
+    """
+    try:
+        return msgspec.json.decode(data, type=kind)
+    except RecursionError:
+        return msgspec.json.decode(jsonlimits.prune(bytes(data)), type=kind)
+
+
 def _decode_object(raw: msgspec.Raw) -> forwarding.StoredObject | None:
     """Decodes an object; None if it is malformed."""
     try:
-        item = msgspec.json.decode(raw, type=_Object)
+        item = _decode_json(raw, _Object)
     except msgspec.DecodeError:
         return None
     meta = item.meta
--- a/crocusmux/platform/upstream_calls.py
+++ b/crocusmux/platform/upstream_calls.py
@@ -7,6 +7,7 @@
 
 from crocusmux import errors
 from crocusmux import forwarding
+from crocusmux import jsonlimits
 from crocusmux.core.forward import heartbeats
 
 _CALL_PATH = re.compile(r"/crocusmux/endpoints/([^/]+)/(heartbeat|deregister)")
@@ -39,7 +40,7 @@
     if action == "deregister":
         return forwarding.Deregistration(upstream)
     try:
-        report = msgspec.json.decode(body, type=_StatusReport)
+        report = msgspec.json.decode(jsonlimits.prune(body), type=_StatusReport)
         ip, _, port = report.address.rpartition(":")
         address = (ip, int(port))
     except (msgspec.DecodeError, ValueError) as exc:
--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -126,3 +126,35 @@
     Given a store with 2 objects
     When the answer to the creation of object 9 is lost
     Then creating it again raises ConflictError
+
+  # Guards against one object of another writer that ends every balancer: the
+  # decoder fails on deep nesting with an error that nobody caught.
+  Scenario: An object that is nested too deep does not hide the others
+    Given a store whose list and watch have an object nested 2000 deep between two others
+    When the objects are listed and watched
+    Then both results name all three objects
+    And the specs of the two others are unchanged
+
+  # Guards against pruning that changes brackets in strings or shallow values.
+  Scenario Outline: Only values beyond the depth limit are pruned
+    When the JSON <text> is pruned to depth 2
+    Then the pruned JSON is <result>
+
+    Examples:
+      | text                  | result              |
+      | [1,[2,3],{"a":4}]     | [1,[2,3],{"a":4}]   |
+      | [[[1]],[{"a":{}}],5]  | [[null],[null],5]   |
+      | {"a":"[[[","b":[[0]]} | {"a":"[[[","b":[null]} |
+      | ["\\"]]]",[2]]        | ["\\"]]]",[2]]      |
+
+  # Guards against a heartbeat that is nested too deep and raises an error in the
+  # agent's HTTP server.
+  Scenario: A heartbeat that is nested too deep is refused as malformed
+    When a heartbeat whose body is nested 2000 deep arrives
+    Then the call is refused as malformed
+
+  # Guards against a datagram that is nested too deep and raises an error in a
+  # balancer's receiver.
+  Scenario: A control message that is nested too deep is bad input
+    When a control message that is nested 2000 deep arrives
+    Then it is counted as bad input
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -9,7 +9,10 @@
 import msgspec
 
 from crocusmux import errors
+from crocusmux import jsonlimits
+from crocusmux.core.control import calls
 from crocusmux.core.forward import segments
+from crocusmux.daemons import forward
 from crocusmux.platform import configuration
 from crocusmux.platform import host_settings
 from crocusmux.platform import packets
@@ -21,6 +24,10 @@
 FLAGS = {"SYN": 2, "ACK": 64, "FIN": 16, "RST": 4, "BOUNCED": 32}
 
 
+def nested(depth):
+    return b"[" * depth + b"]" * depth
+
+
 def packet(src, dst, seq, ack, flags, data):
     (src_ip, sport), (dst_ip, dport) = src, dst
     return b"".join(
@@ -176,6 +183,17 @@
         context.error = exc
 
 
+@when("a heartbeat whose body is nested {depth:d} deep arrives")
+def send_deep_heartbeat(context, depth):
+    context.call = context.error = None
+    try:
+        context.call = upstream_calls.decode_call(
+            "POST", "/crocusmux/endpoints/i-1/heartbeat", nested(depth)
+        )
+    except errors.WireError as exc:
+        context.error = exc
+
+
 @then("the call is refused as malformed")
 def call_rejected(context):
     assert context.error is not None and context.call is None
@@ -383,3 +401,84 @@
         assert type(exc).__name__ == error, exc
         return
     raise AssertionError("no error")
+
+
+@given(
+    "a store whose list and watch have an object nested {depth:d} deep between"
+    " two others"
+)
+def store_with_deep_object(context, depth):
+    specs = [b'{"host":"a"}', nested(depth), b'{"host":"c"}']
+    items = [
+        b'{"meta":{"name":"%s","rev":7},"spec":%s}' % (name, spec)
+        for name, spec in zip((b"a", b"b", b"c"), specs, strict=True)
+    ]
+    events = [b'{"deleted":false,"object":%s}' % item for item in items]
+    listed = b'{"items":[%s],"current_rev":9}' % b",".join(items)
+    watched = b'{"events":[%s],"current_rev":9}' % b",".join(events)
+
+    async def fetch(method, url, body, timeout_s):
+        del method, body, timeout_s
+        return calls.Response(
+            status=200, body=watched if "?" in url else listed
+        )
+
+    context.store = store.Store(("127.0.0.1", 1))
+    context.store._fetch = fetch
+
+
+@when("the objects are listed and watched")
+def list_and_watch(context):
+    async def both():
+        return [
+            await context.store.list("agents"),
+            await context.store.watch("agents", 5, 1.0),
+        ]
+
+    context.results = asyncio.run(both())
+
+
+@then("both results name all three objects")
+def all_named(context):
+    for changes in context.results:
+        assert [x.name for x in changes.items] == ["a", "b", "c"]
+
+
+@then("the specs of the two others are unchanged")
+def others_unchanged(context):
+    for changes in context.results:
+        specs = {x.name: x.spec for x in changes.items}
+        assert specs["a"] == b'{"host":"a"}' and specs["c"] == b'{"host":"c"}'
+
+
+@when("the JSON {text} is pruned to depth {depth:d}")
+def prune_json(context, text, depth):
+    context.pruned = jsonlimits.prune(text.encode(), depth)
+
+
+@then("the pruned JSON is {text}")
+def check_pruned(context, text):
+    assert context.pruned == text.encode(), context.pruned
+
+
+@when("a control message that is nested {depth:d} deep arrives")
+def deep_message(context, depth):
+    context.loop = event_loop.PausedLoop()
+    asyncio.set_event_loop(context.loop)
+    context.add_cleanup(context.loop.close)
+
+    async def receive():
+        messenger = forward.Messenger(
+            ("127.0.0.1", 0), lambda message, sender: None, lambda: 0.0
+        )
+        messenger.socket.close()
+        # 0x91 is an array of one element in msgpack.
+        messenger._on_datagram(b"\x91" * depth + b"\x90", ("127.0.0.1", 9))
+        return messenger.metrics
+
+    context.metrics = context.loop.run_until_complete(receive())
+
+
+@then("it is counted as bad input")
+def counted_as_bad_input(context):
+    assert context.metrics._events == {"bad-input": 1}
