Check the configuration watch, as the store may lose its answer

Cause: a silence of the store lost the answers of the balancers' watches on connections that stayed open. Peers did not help, as all of them watched again at the same time.

Evidence: with checks off, the scenarios "A change is delivered although the store lost the watch" and "Checks go on after the store was silent" fail.

Beside the exact watch on configurations a stale watch of 2 s is repeated, which costs a tenth of a call. A change that it sees and the exact watch does not report is delivered, and a new watch begins. The exact watch stays, as a stale one may lag by seconds.

--- a/crocusmux/daemons/follow.py
+++ b/crocusmux/daemons/follow.py
@@ -14,6 +14,11 @@
 # Longest watch that the store allows, as each call is billed.  Keep-alive
 # probes detect a dead connection sooner.
 WATCH_TIMEOUT_S = 30.0
+# Wait of a check, a stale watch beside the exact one.  The store may lose the
+# answer to a watch without an error, on a connection that stays open; a check
+# then sees the next change.  It costs a tenth of an exact call.
+CHECK_WAIT_S = 2.0
+MIN_CHECK_GAP_S = 0.1
 # Longest wait between two attempts while the store fails.
 MAX_BACKOFF_S = 1.0
 # Delay after a change until the next watch.  Changes come in series (hosts that
@@ -39,6 +44,7 @@
         rng: random.Random,
         batch_delay_s: float = BATCH_DELAY_S,
         allow_stale: bool = False,
+        check: bool = False,
     ) -> None:
         """Creates a follower; ``run`` makes the calls.
 
@@ -50,6 +56,8 @@
             batch_delay_s: Delay after a change until the next watch, seconds.
             allow_stale: True if changes may be delivered some seconds late;
                 such watches cost less.  Lists are always current.
+            check: True to notice soon that the store lost the answer to a
+                watch, by checks.
         """
         self.listed = False
         self._store = store
@@ -58,6 +66,7 @@
         self._rng = rng
         self._batch_delay_s = batch_delay_s
         self._allow_stale = allow_stale
+        self._check = check
         self._revision: int | None = None
         self._failures = 0
 
@@ -77,9 +86,7 @@
             changes = await self._store.list(self._kind)
             self.listed = True
         else:
-            changes = await self._store.watch(
-                self._kind, self._revision, WATCH_TIMEOUT_S, self._allow_stale
-            )
+            changes = await self._watch(self._revision)
         if changes is None:
             logger.warning("event=history-gone kind=%s", self._kind)
             self._revision = None
@@ -93,6 +100,49 @@
             self._deliver(changes)
             await asyncio.sleep(self._batch_delay_s)
 
+    async def _watch(self, revision: int) -> forwarding.Changes | None:
+        watch = asyncio.ensure_future(
+            self._store.watch(
+                self._kind, revision, WATCH_TIMEOUT_S, self._allow_stale
+            )
+        )
+        if not self._check:
+            return await watch
+        checks = asyncio.ensure_future(self._find_missed_change(revision))
+        try:
+            await asyncio.wait(
+                {watch, checks}, return_when=asyncio.FIRST_COMPLETED
+            )
+            # The exact watch first: a check may have the same change, stale.
+            return watch.result() if watch.done() else checks.result()
+        finally:
+            watch.cancel()
+            checks.cancel()
+
+    async def _find_missed_change(
+        self, revision: int
+    ) -> forwarding.Changes | None:
+        """Repeats checks until one has a change after a revision."""
+        while True:
+            try:
+                changes = await self._store.watch(
+                    self._kind, revision, CHECK_WAIT_S, allow_stale=True
+                )
+            except errors.PlatformError:
+                # The exact watch tells whether the store is lost.
+                await asyncio.sleep(CHECK_WAIT_S)
+                continue
+            if changes is None:
+                return None
+            if changes.revision < revision or not (
+                changes.items or changes.removed
+            ):
+                # Guards against a store that answers at once.
+                await asyncio.sleep(MIN_CHECK_GAP_S)
+                continue
+            logger.warning("event=watch-lost kind=%s", self._kind)
+            return changes
+
     async def _on_failure(self, exc: errors.PlatformError) -> None:
         if self._failures == 0:
             logger.warning(
--- a/crocusmux/daemons/forward_balancer.py
+++ b/crocusmux/daemons/forward_balancer.py
@@ -93,6 +93,7 @@
             self._on_config_changes,
             rng,
             CONFIG_BATCH_DELAY_S,
+            check=True,
         )
 
     async def start(self) -> None:
--- a/features/follow.feature
+++ b/features/follow.feature
@@ -53,3 +53,25 @@
   Scenario: Watches may be stale, lists may not
     Given a store with the object main at 1 that is followed and may be stale
     Then the watch allows stale results
+
+  # Guards against fault CONFIG: the store lost the answer to a watch on a
+  # connection that stayed open, and the next change was seen when the watch timed
+  # out, 22 s later.  The bound of a change is 3 s from when the store is stable.
+  Scenario: A change is delivered although the store lost the watch
+    Given a store with the object main at 1 that is followed with checks
+    When the store loses the watch and main changes to 2
+    Then it is delivered within 3 s and watched on
+
+  # Guards against checks that end with the first error of the store.
+  Scenario: Checks go on after the store was silent
+    Given a store with the object main at 1 that is followed with checks
+    When checks fail for 5 s
+    And the store loses the watch and main changes to 2
+    Then it is delivered within 3 s and watched on
+
+  # Guards against checks that take a change from the exact watch.
+  Scenario: The exact watch still delivers a change at once
+    Given a store with the object main at 1 that is followed with checks
+    When main changes to 3
+    Then main is delivered at 3
+    And 1 list was read
--- a/features/steps/follow_steps.py
+++ b/features/steps/follow_steps.py
@@ -32,7 +32,9 @@
         )
 
     async def watch(self, kind, revision, wait_s, allow_stale=False):
-        del kind, wait_s
+        del kind
+        if wait_s == follow.CHECK_WAIT_S:
+            return await self.answer_check(revision, wait_s)
         self.stale_allowed = allow_stale
         self._count()
         if revision != self.object.revision and not self.drops_changes:
@@ -42,6 +44,14 @@
         self.pending_watches.append(fut)
         return await fut
 
+    async def answer_check(self, revision, wait_s):
+        await asyncio.sleep(wait_s)
+        if self.failing:
+            raise unavailable()
+        changed = revision != self.object.revision
+        items = (self.object,) if changed else ()
+        return forwarding.Changes(self.object.revision, items)
+
     def change(self, revision):
         spec = str(revision).encode()
         self.object = forwarding.StoredObject("main", revision, spec)
@@ -76,7 +86,38 @@
     start_follower(context, revision, allow_stale=True)
 
 
-def start_follower(context, revision, allow_stale):
+@given("a store with the object main at 1 that is followed with checks")
+def start_checked_follower(context):
+    start_follower(context, 1, allow_stale=False, check=True)
+
+
+@when("the store loses the watch and main changes to {revision:d}")
+def lose_watch(context, revision):
+    context.store.change(revision)
+
+
+@when("checks fail for {seconds:d} s")
+def checks_fail(context, seconds):
+    context.store.failing = True
+    end = context.loop.time() + seconds
+    context.loop.advance_until(
+        lambda: context.loop.time() >= end, 0.05, 2 * seconds
+    )
+    context.store.failing = False
+
+
+@then("it is delivered within {seconds:d} s and watched on")
+def delivered_soon(context, seconds):
+    context.loop.advance_until(
+        lambda: context.delivered[-1].revision == 2, 0.1, seconds
+    )
+    watches = len(context.store.pending_watches)
+    context.loop.advance_until(
+        lambda: len(context.store.pending_watches) > watches, 0.1, 3.0
+    )
+
+
+def start_follower(context, revision, allow_stale, check=False):
     context.loop = event_loop.PausedLoop()
     context.store = FakeStore()
     context.store.change(revision)
@@ -87,6 +128,7 @@
         context.delivered.append,
         random.Random(1),
         allow_stale=allow_stale,
+        check=check,
     )
     context.task = context.loop.create_task(follower.run())
     context.add_cleanup(stop_follower, context)
