Limit the openings of upstreams that are warming up

An upstream that has just started, or whose domain returns after an evacuation, is cold and fails under the load of all balancers together. Its agent now admits warmup_per_s openings in any second until the warm-up ends, and declines the others as warming-up, which balancers take as transient. Services without a rate are served as before.

--- a/crocusmux/core/forward/agent.py
+++ b/crocusmux/core/forward/agent.py
@@ -10,6 +10,7 @@
 from crocusmux.core.forward import subscribers
 from crocusmux.core.forward import upstream_load
 from crocusmux.core.forward import upstreams
+from crocusmux.core.forward import warmup
 
 TIMER_INTERVAL_S = 0.05
 EXPIRY_INTERVAL_S = 1.0
@@ -68,6 +69,7 @@
         self._returned_at: dict[bytes, float] = {}
         self._knows_all_flows = False
         self._subscribers = subscribers.Subscribers()
+        self._warmup_limit = warmup.WarmupLimit()
         self._unanswered_since: float | None = None
         self._silent_since: float | None = None
         self._next_expiry_at = 0.0
@@ -108,6 +110,8 @@
             flow = self._add_flow(now, seg.key, balancer)
             self._returned_at.pop(seg.key, None)
             self.load.accept_flow(now, seg.key)
+            # Also without a rate, which may arrive within the next second.
+            self._warmup_limit.record(now)
         flow.last_segment_at = now
         if self._unanswered_since is None and not flow.open:
             self._unanswered_since = now
@@ -126,6 +130,13 @@
         slots = self.lifecycle.current.slots
         if self.load.committed(now) >= slots * (1 + MAX_QUEUED_PER_SLOT):
             return reports.DECLINED_OVERLOAD
+        rate = self._subscribers.warmup_per_s
+        if (
+            rate > 0
+            and self.lifecycle.cold(now)
+            and not self._warmup_limit.admits(now, rate)
+        ):
+            return reports.DECLINED_WARMING
         return ""
 
     def _on_unknown_flow(
@@ -293,6 +304,10 @@
             # A new boot holds none of the flows of the previous one.
             first = beat.sequence <= FIRST_HEARTBEAT_SEQUENCE
             self._knows_all_flows = before is not None or first
+            self._warmup_limit.clear()
+            if not self._knows_all_flows:
+                # The previous agent may have used up the limit just now.
+                self._warmup_limit.assume_full(now)
             detail = (
                 f"upstream={beat.upstream} born={beat.born_ms}"
                 f" slots={beat.slots} draining={beat.draining}"
--- a/crocusmux/core/forward/balancer.py
+++ b/crocusmux/core/forward/balancer.py
@@ -1,6 +1,7 @@
 """State machine of a forwarding balancer; the daemon does all I/O."""
 
 from collections.abc import Iterable
+import functools
 import math
 import random
 
@@ -46,6 +47,7 @@
     reports.DECLINED_OVERLOAD,
     reports.DECLINED_BY_UPSTREAM,
     reports.DECLINED_UNKNOWN_STATE,
+    reports.DECLINED_WARMING,
 )
 
 Outputs = list[outputs.Output]
@@ -337,7 +339,9 @@
         if upstream is None:
             return
         if message.reason == reports.DECLINED_OVERLOAD:
-            upstream.backoff_until = now + upstreams.OVERLOAD_BACKOFF_S
+            upstream.back_off(now, upstreams.OVERLOAD_BACKOFF_S)
+        elif message.reason == reports.DECLINED_WARMING:
+            upstream.back_off(now, upstreams.WARMUP_BACKOFF_S)
         elif message.reason in reports.DECLINED_BY_STATE:
             upstream.avoided = True
 
@@ -403,23 +407,30 @@
             SUBSCRIPTION_INTERVALS * self._subscribe_interval_s()
         )
 
-        def subscription(interval_s: float) -> reports.Subscribe:
+        # Few different subscriptions go to many agents.
+        @functools.cache
+        def subscription(
+            is_local: bool, warmup_per_s: float
+        ) -> reports.Subscribe:
             return reports.Subscribe(
                 self._host,
                 self._address,
                 self.routes.version,
                 self._config_source,
                 valid_s,
-                interval_s,
+                local_s if is_local else remote_s,
                 report_now,
                 compact=True,
+                warmup_per_s=warmup_per_s,
             )
 
-        local, remote = subscription(local_s), subscription(remote_s)
         return [
             outputs.ToPeer(
                 upstream.record.control,
-                local if table.is_local(upstream.record) else remote,
+                subscription(
+                    table.is_local(upstream.record),
+                    self.routes.warmup_per_s(upstream.record.service),
+                ),
             )
             for upstream in agents
         ]
--- a/crocusmux/core/forward/heartbeats.py
+++ b/crocusmux/core/forward/heartbeats.py
@@ -107,6 +107,15 @@
         """Returns True if one heartbeat is missing."""
         return now - self.heartbeat_at > MISSED_INTERVALS * self._interval_s
 
+    def cold(self, now: float) -> bool:
+        """Returns True while the upstream is warming up.
+
+        The time left is counted down since the arrival of the heartbeat that
+        states it, as the clocks of the upstream and the agent may differ.
+        """
+        beat = self.current
+        return beat is not None and now < self.heartbeat_at + beat.warmup_s
+
     def draining(self) -> bool:
         """Returns True if the current boot accepts no new flows."""
         return self.deregistered or (
--- a/crocusmux/core/forward/reports.py
+++ b/crocusmux/core/forward/reports.py
@@ -35,6 +35,8 @@
         report_now: True if the agent shall report at once, as a report is
             overdue.
         compact: True if the balancer can decode compact reports.
+        warmup_per_s: Openings a second that an upstream of the agent's service
+            takes while it is warming up; 0 if unlimited.
     """
 
     balancer: str
@@ -45,10 +47,11 @@
     interval_s: float
     report_now: bool = False
     compact: bool = False
+    warmup_per_s: float = 0.0
 
     def __post_init__(self) -> None:
         addresses.check(self.address)
-        _check_numbers(self, ("valid_s", "interval_s"))
+        _check_numbers(self, ("valid_s", "interval_s", "warmup_per_s"))
 
 
 class LoadReport(msgspec.Struct, frozen=True, tag="l", array_like=True):
@@ -229,6 +232,7 @@
 DECLINED_BY_UPSTREAM = "upstream-full"
 DECLINED_OVERLOAD = "overload"
 DECLINED_SILENT = "upstream-silent"
+DECLINED_WARMING = "warming-up"
 
 # Reasons that last at least until the agent's next report.
 DECLINED_BY_STATE = (
--- a/crocusmux/core/forward/routes.py
+++ b/crocusmux/core/forward/routes.py
@@ -6,9 +6,12 @@
 import msgspec
 
 from crocusmux import addresses
+from crocusmux.core.forward import reports
 
 # Idle timeout of flows unless the configuration sets another one.
 DEFAULT_IDLE_S = 15.0
+# Larger rates are malformed: subscriptions cannot carry them.
+MAX_WARMUP_PER_S = reports.MAX_NUMBER
 
 
 class Route(msgspec.Struct, frozen=True):
@@ -53,11 +56,21 @@
         version: Number that increases with each change.
         routes: All routes.
         idle_s: Idle timeout of flows, seconds.
+        warmup_rates: Names of the services that limit the new flows of a
+            warming upstream, with their limits in openings a second.
     """
 
     version: int
     routes: tuple[Route, ...] = ()
     idle_s: float = DEFAULT_IDLE_S
+    warmup_rates: tuple[tuple[str, float], ...] = ()
+
+    def __post_init__(self) -> None:
+        for service, rate in self.warmup_rates:
+            if not 0 < rate <= MAX_WARMUP_PER_S:
+                raise ValueError(
+                    f"warm-up rate of {service} is out of range: {rate}"
+                )
 
 
 class FormerServices(msgspec.Struct, frozen=True):
@@ -82,12 +95,18 @@
         configuration: The configuration; version 0 before the first.
     """
 
-    __slots__ = ("_by_address", "_former_services", "configuration")
+    __slots__ = (
+        "_by_address",
+        "_former_services",
+        "_warmup_rates",
+        "configuration",
+    )
 
     def __init__(self) -> None:
         self.configuration = Configuration(0)
         self._by_address: dict[bytes, Route] = {}
         self._former_services: dict[bytes, set[str]] = {}
+        self._warmup_rates: dict[str, float] = {}
 
     @property
     def version(self) -> int:
@@ -108,6 +127,7 @@
         if cfg.version <= self.version:
             return False
         self.configuration = cfg
+        self._warmup_rates = dict(cfg.warmup_rates)
         before = self._by_address
         self._by_address = {
             encode_route_address(r.address): r for r in cfg.routes
@@ -172,6 +192,14 @@
         """Returns the route of a flow key; None if there is none."""
         return self._by_address.get(key[6:])
 
+    def warmup_per_s(self, service: str) -> float:
+        """Returns the openings a second that a warming upstream takes.
+
+        0 if the service sets no limit.
+        """
+        # An integer zero takes one byte in a message, a float nine.
+        return self._warmup_rates.get(service, 0)
+
     def services(self) -> set[str]:
         """Returns the names of the services of all routes."""
         all_routes = self._by_address.values()
--- a/crocusmux/core/forward/subscribers.py
+++ b/crocusmux/core/forward/subscribers.py
@@ -46,12 +46,15 @@
     Attributes:
         newest_config: Newest configuration version of any subscriber, and the
             address that serves it.
+        warmup_per_s: Openings a second for a warming upstream, under that
+            version; 0 if unlimited.
     """
 
-    __slots__ = ("_by_ip", "newest_config")
+    __slots__ = ("_by_ip", "newest_config", "warmup_per_s")
 
     def __init__(self) -> None:
         self.newest_config = (0, "")
+        self.warmup_per_s = 0.0
         self._by_ip: dict[str, Subscriber] = {}
 
     def __len__(self) -> int:
@@ -67,6 +70,11 @@
         """Starts or renews a subscription; returns it, and True if it is new."""
         if message.config_version > self.newest_config[0]:
             self.newest_config = (message.config_version, message.config_source)
+            self.warmup_per_s = message.warmup_per_s
+        elif message.config_version == self.newest_config[0]:
+            # A balancer of an older release sends the same version without
+            # its rate.
+            self.warmup_per_s = max(self.warmup_per_s, message.warmup_per_s)
         ip = message.address[0]
         known = self._by_ip.get(ip)
         subscriber = known or Subscriber(message.address)
--- a/crocusmux/core/forward/upstreams.py
+++ b/crocusmux/core/forward/upstreams.py
@@ -29,6 +29,9 @@
 # An agent that declined a flow because of overload gets no other flow for this
 # time, about one service time.
 OVERLOAD_BACKOFF_S = 0.03
+# The same for an agent whose upstream is warming up.  The next of a few openings
+# a second is admitted later than that, but another balancer may get it.
+WARMUP_BACKOFF_S = 0.1
 
 
 class AgentRecord(msgspec.Struct, frozen=True):
@@ -139,6 +142,10 @@
         )
         return self.report_age_s(now) > max(MIN_LOST_S, limit_s)
 
+    def back_off(self, now: float, seconds: float) -> None:
+        """Offers no new flows for a time; a longer pause stays in force."""
+        self.backoff_until = max(self.backoff_until, now + seconds)
+
     def accepts(self, now: float) -> bool:
         """Returns True if the agent reports and accepts new flows."""
         return (
--- a/crocusmux/platform/configuration.py
+++ b/crocusmux/platform/configuration.py
@@ -25,6 +25,14 @@
     traffic_split: list[_Share] = []
 
 
+class _Service(msgspec.Struct):
+    name: str
+    # Upstreams state the time left in their heartbeats.
+    warmup_s: float = 0.0
+    # Requests a second of an upstream that is warming up; 0 if unlimited.
+    warmup_per_s: float = 0.0
+
+
 class _Limits(msgspec.Struct):
     idle_timeout_ms: float = routes.DEFAULT_IDLE_S * 1000
 
@@ -32,6 +40,7 @@
 class _DesiredState(msgspec.Struct):
     version: int
     routes: list[_Route]
+    services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
@@ -43,13 +52,22 @@
     """
     try:
         state = msgspec.json.decode(spec, type=_DesiredState)
-        converted = tuple(_convert_route(route) for route in state.routes)
+        return _convert(state)
     except (msgspec.DecodeError, ValueError) as exc:
         raise errors.ObjectError(
             f"desired state is malformed: {exc}", step="decode configuration"
         ) from exc
+
+
+def _convert(state: _DesiredState) -> routes.Configuration:
     return routes.Configuration(
-        state.version, converted, state.limits.idle_timeout_ms / 1000
+        state.version,
+        tuple(_convert_route(route) for route in state.routes),
+        state.limits.idle_timeout_ms / 1000,
+        # A rate out of range is refused there.
+        tuple(
+            (s.name, s.warmup_per_s) for s in state.services if s.warmup_per_s
+        ),
     )
 
 
