Test the warm-up limit of agents

Covers any span of one second, many balancers, retransmissions, returned openings, the end of the warm-up, restarts and configuration versions.

--- a/features/bad_input.feature
+++ b/features/bad_input.feature
@@ -65,6 +65,9 @@
       | CompactReport | flows               | 1000000000000 |
       | Subscribe     | interval_s          | NaN           |
       | Subscribe     | valid_s             | Infinity      |
+      | Subscribe     | warmup_per_s        | NaN           |
+      | Subscribe     | warmup_per_s        | Infinity      |
+      | Subscribe     | warmup_per_s        | -1.0          |
 
   # Guards against a check that refuses everything.
   Scenario: Control messages with possible numbers are decoded
--- a/features/forward_agent.feature
+++ b/features/forward_agent.feature
@@ -356,3 +356,110 @@
     And 10 s pass at the agent
     Then the former got 3 times as many reports as the latter
     And its reports took at most 7000 bytes a second of 10 s
+
+  # Guards against a cold upstream that gets more than its rate in some second:
+  # a fixed window admits twice the rate around its border.
+  Scenario: A cold upstream gets at most its rate in any span of one second
+    Given an agent whose upstream is cold for 2.5 s at 10 openings a second
+    When 20 openings each arrive at 0.9, 1.05, 1.5, 1.95 and 2.1 s
+    Then bursts of 10, 0, 0, 10 and 0 are accepted
+    And at most 10 are accepted in any span of one second
+
+  # Guards against a limit for each balancer, which many balancers multiply.
+  Scenario: The limit of a cold upstream holds for all balancers together
+    Given an agent whose upstream is cold for 2 s at 10 openings a second
+    When 22 balancers send 5 openings each
+    Then 10 of them are accepted in total
+
+  # Guards against a rate below one opening a second that admits none.
+  Scenario: A cold upstream gets one opening a second at the least rate
+    Given an agent whose upstream is cold for 2 s at 0.3 openings a second
+    When 20 openings arrive within 10 ms
+    Then 1 of them are accepted and the others declined as "warming-up"
+
+  # Guards against retransmissions that use up the limit, and against flows that
+  # were admitted and are then declined.
+  Scenario: The retransmitted openings of admitted flows are not counted again
+    Given an agent whose upstream is cold for 2 s at 10 openings a second
+    When 9 openings arrive within 10 ms
+    And the accepted openings are retransmitted 3 times
+    Then the upstream gets all of the retransmissions
+    When 20 openings arrive within 10 ms
+    Then 1 of them are accepted and the others declined as "warming-up"
+
+  # Guards against a limit that outlasts the warm-up, as the next heartbeat may
+  # be late or lost.
+  Scenario: The limit ends with the warm-up, without another heartbeat
+    Given an agent whose upstream is cold for 1.5 s at 10 openings a second
+    When 20 openings each arrive at 1.4 and 1.51 s
+    Then bursts of 10 and 20 are accepted
+
+  # Guards against a warm-up that never ends: each heartbeat names the time left.
+  Scenario: The newest heartbeat tells how long the warm-up lasts
+    Given an agent whose upstream is cold for 2 s at 10 openings a second
+    When 20 openings each arrive at 0.1 s
+    And the same boot reports that it is cold for 0.2 s
+    And 20 openings each arrive at 0.25 and 0.31 s
+    Then bursts of 0 and 20 are accepted
+
+  # Guards against a change for services that set no rate.
+  Scenario: A cold upstream of a service without a rate has no limit
+    Given an agent whose upstream is cold for 2 s at 0 openings a second
+    When 20 openings arrive within 10 ms
+    Then all of them are accepted
+
+  # Guards against a cold upstream that gets more openings than its rate because
+  # it returns some of them.
+  Scenario: An opening that a cold upstream returns counts
+    Given an agent whose upstream is cold for 2 s at 10 openings a second
+    When 10 openings arrive within 10 ms
+    And the upstream returns all accepted openings
+    And 20 openings arrive within 10 ms
+    Then 0 of them are accepted and the others declined as "warming-up"
+
+  # Guards against a limit that the subscription of a balancer with an older
+  # configuration, or of an older release, changes or ends.
+  Scenario Outline: The rate of the newest configuration version applies
+    Given an agent whose upstream is cold for 2 s at 10 openings a second
+    When a balancer with version <version> subscribes with the rate <rate>
+    And 20 openings arrive within 10 ms
+    Then <count> of them are accepted in total
+
+    Examples:
+      | version | rate | count |
+      | 4       | 3    | 10    |
+      | 4       | 0    | 10    |
+      | 5       | 0    | 10    |
+      | 6       | 3    | 3     |
+      | 6       | 0    | 20    |
+
+  # Guards against openings that are forgotten while the upstream stays cold, and
+  # against the limit of a boot that is applied to the next one.
+  Scenario Outline: Only another boot starts with an empty window
+    Given an agent whose upstream is cold for 2 s at 10 openings a second
+    When 20 openings arrive within 10 ms
+    And <boot> reports that it is cold for 2 s
+    And 20 openings arrive within 10 ms
+    Then <count> of them are accepted in total
+
+    Examples:
+      | boot          | count |
+      | the same boot | 0     |
+      | another boot  | 10    |
+
+  # Guards against twice the rate around the start of the limit: openings are
+  # counted before the upstream is cold, or its rate is known.
+  Scenario: Openings just before the limit applies are counted
+    Given an agent whose upstream is cold for 0 s at 0 openings a second
+    When 8 openings arrive within 10 ms
+    And a balancer with version 6 subscribes with the rate 10
+    And the same boot reports that it is cold for 2 s
+    And 20 openings arrive within 10 ms
+    Then 2 of them are accepted in total
+
+  # Guards against twice the rate around a restart of the agent, which does not
+  # know what its predecessor admitted.
+  Scenario: A restarted agent of a cold upstream admits nothing for one second
+    Given a restarted agent whose upstream is cold for 2 s at 10 openings a second
+    When 20 openings each arrive at 0.1, 0.9 and 1.1 s
+    Then bursts of 0, 0 and 10 are accepted
--- a/features/steps/forward_agent_steps.py
+++ b/features/steps/forward_agent_steps.py
@@ -484,3 +484,132 @@
     targets = [o.to[0] for o in peers if o.to[0].startswith("10.0.4.")]
     often = sum(ip in context.often for ip in targets)
     assert often >= factor * (len(targets) - often) > 0, (often, len(targets))
+
+
+def cold_agent(context, seconds, rate, sequence):
+    new_agent(context)
+    context.began_at = context.now
+    context.accepted_at = []
+    subscribe_with_rate(context, 5, rate)
+    report_cold(context, seconds, sequence=sequence)
+
+
+def report_cold(context, seconds, sequence, born_ms=BORN_MS):
+    # So many slots that no opening is declined because of overload.
+    beat = heartbeats_steps.heartbeat(born_ms, sequence, slots=1000)
+    beat = msgspec.structs.replace(beat, warmup_s=seconds)
+    context.core.on_heartbeat(context.now, beat)
+
+
+@given(
+    "an agent whose upstream is cold for {seconds:g} s at {rate:g} openings a"
+    " second"
+)
+def started_cold(context, seconds, rate):
+    cold_agent(context, seconds, rate, sequence=1)
+
+
+@given(
+    "a restarted agent whose upstream is cold for {seconds:g} s at {rate:g}"
+    " openings a second"
+)
+def restarted_cold(context, seconds, rate):
+    cold_agent(context, seconds, rate, sequence=7)
+
+
+@when("a balancer with version {version:d} subscribes with the rate {rate:g}")
+def subscribe_with_rate(context, version, rate):
+    message = reports.Subscribe(
+        "edge-2",
+        ("10.0.0.8", 7720),
+        version,
+        "",
+        10.0,
+        0.25,
+        warmup_per_s=rate,
+    )
+    context.core.on_subscribe(context.now, message)
+
+
+@when("the same boot reports that it is cold for {seconds:g} s")
+def same_boot_cold(context, seconds):
+    report_cold(context, seconds, sequence=2)
+
+
+@when("another boot reports that it is cold for {seconds:g} s")
+def other_boot_cold(context, seconds):
+    report_cold(context, seconds, sequence=1, born_ms=BORN_MS + 1)
+
+
+@when("{count:d} openings each arrive at {times} s")
+def openings_at(context, count, times):
+    context.counts = []
+    for text in times.replace(" and ", ", ").split(", "):
+        context.now = context.began_at + float(text)
+        openings_arrive(context, count)
+        assert all(x.reason == "warming-up" for x in context.declined)
+        context.accepted_at += [context.now] * len(context.accepted)
+        context.counts.append(len(context.accepted))
+
+
+@then("bursts of {counts} are accepted")
+def check_counts(context, counts):
+    expected = counts.replace(" and ", ", ").split(", ")
+    assert context.counts == [int(x) for x in expected], context.counts
+
+
+@then("all of them are accepted")
+def all_accepted(context):
+    assert len(context.accepted) == 20 and not context.declined
+
+
+@then("{count:d} of them are accepted in total")
+def check_total(context, count):
+    assert len(context.accepted) == count, len(context.accepted)
+
+
+@then("at most {count:d} are accepted in any span of one second")
+def check_spans(context, count):
+    times = context.accepted_at
+    assert times
+    for start in times:
+        assert sum(start <= x < start + 1.0 for x in times) <= count, start
+
+
+@when("{balancers:d} balancers send {count:d} openings each")
+def many_balancers_open(context, balancers, count):
+    context.accepted = []
+    for number in range(balancers * count):
+        key = balancer_sample.flow_key(42_000 + number)
+        seg = segment(key, opening=True, ack=0)
+        address = (f"10.0.5.{number % balancers}", 7720)
+        context.outs = context.core.on_caller_segment(context.now, seg, address)
+        if outputs_of(context, outputs.ToUpstream):
+            context.accepted.append(key)
+
+
+@when("the accepted openings are retransmitted {count:d} times")
+def retransmit_accepted(context, count):
+    context.retransmitted = 0
+    for _ in range(count):
+        for key in context.accepted:
+            from_balancer(context, segment(key, opening=True, ack=1))
+            assert not messages(context, reports.OpeningDeclined)
+            context.retransmitted += len(
+                outputs_of(context, outputs.ToUpstream)
+            )
+
+
+@then("the upstream gets all of the retransmissions")
+def check_retransmissions(context):
+    assert context.retransmitted == 27, context.retransmitted
+
+
+@when("the upstream returns all accepted openings")
+def return_accepted(context):
+    assert context.accepted
+    for key in context.accepted:
+        seg = segment(key, returned=True, opening=True, ack=0)
+        from_upstream(context, seg)
+        (message,) = messages(context, reports.OpeningDeclined)
+        assert message.reason == "upstream-full"
