Test warm-up rates from the configuration to the subscription

A decline as warming-up leads to another agent and a pause of 0.1 s, each agent gets the rate of its own service, and releases without the field read and send subscriptions as before.

--- a/features/forward_balancer.feature
+++ b/features/forward_balancer.feature
@@ -520,3 +520,79 @@
     And a caller opens a flow to rounds
     And 0.1 s pass
     Then agent h17 was offered the flow
+
+  # Guards against refusals while an upstream warms up, and against offers that
+  # it declines again: they cost the flow time.
+  Scenario: A flow that a warming upstream declines goes to another agent
+    Given a balancer with the agents a, b, c of rounds and d of wheelbook
+    When a caller opens a flow to rounds
+    And the agent that was offered the flow declines it as "warming-up"
+    Then another agent of rounds is offered the flow
+    And the caller gets no reset
+
+  # Guards against offers to a warming upstream that cannot take them yet, and
+  # against one that gets nothing for longer than needed.
+  Scenario Outline: A warming upstream is spared for a tenth of a second
+    Given a balancer with the agents a, b, c of rounds and d of wheelbook
+    When agent a alone declines 1 flows as "warming-up", and then all report
+    And <seconds> s pass with reports of all agents
+    And 200 callers open flows to rounds
+    Then agent a is offered <share> of them
+
+    Examples:
+      | seconds | share |
+      | 0.09    | none  |
+      | 0.11    | some  |
+
+  # Guards against a pause that an earlier offer's decline shortens.
+  Scenario: A decline because of overload does not shorten the pause
+    Given a balancer with the agents a, b, c of rounds and d of wheelbook
+    When agent a declines 2 flows at once, as "warming-up" and "overload"
+    And 0.09 s pass with reports of all agents
+    And 200 callers open flows to rounds
+    Then agent a is offered none of them
+
+  # Guards against refusals while all upstreams of a service warm up.
+  Scenario: A flow waits while all upstreams are warming up
+    Given a balancer with the agents a, b, c of rounds and d of wheelbook
+    When a caller opens a flow to rounds
+    And every agent that is offered the flow declines it as "warming-up"
+    Then no agent is offered the flow and the caller gets no reset
+    When 0.09 s pass
+    Then no agent is offered the flow and the caller gets no reset
+    When 0.02 s pass
+    Then one agent of rounds is offered the flow
+
+  # Guards against an agent that applies the rate of another service, or keeps
+  # one that a newer configuration has ended.
+  Scenario: An agent gets the rate of its own service
+    Given a balancer with the agents a, b, c of rounds and d of wheelbook
+    When a configuration of version 6 limits rounds to 12.5 a second
+    Then it sends the rates a=12.5, b=12.5, c=12.5 and d=0
+    When 2.1 s pass
+    Then it sends the rates a=12.5, b=12.5, c=12.5 and d=0
+    When a configuration of version 7 limits wheelbook to 3 a second
+    Then it sends the rates a=0, b=0, c=0 and d=3
+
+  # Guards against a balancer that ends because of a configuration from a peer,
+  # as its subscriptions cannot carry the rate.
+  Scenario Outline: A configuration with an impossible rate is malformed
+    Then a peer's configuration with the rate <rate> cannot be decoded
+
+    Examples:
+      | rate |
+      | -1.0 |
+      | 0.0  |
+      | 1e10 |
+
+  # Guards against an upgrade in which daemons of two releases do not understand
+  # each other's subscriptions.
+  Scenario: Subscriptions are understood by older and newer releases
+    Then a subscription of an older release has no rate
+    And a subscription with the rate 12.5 is read by an older release
+
+  # Guards against larger control traffic of deployments without rates.
+  Scenario: The rate adds at most one field to a subscription
+    Given a balancer with the agents a, b, c of rounds and d of wheelbook
+    When 2.1 s pass
+    Then its subscriptions are 1 byte longer than those of an older release
--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -73,6 +73,28 @@
       | service     | 5            |
       | timeout_ms  | "soon"       |
 
+  # Guards against a rate that applies to another service, and against
+  # configurations without the fields that are refused.
+  Scenario: The warm-up rates of the services are decoded
+    Given a desired state with services of several warm-up rates
+    Then the limits are 12.5 for rounds and 3 for wheelbook, and none for others
+
+  # Guards against a rate that no agent can apply.
+  Scenario Outline: A malformed service rejects the desired state as a whole
+    Given a desired state whose service has <field> <value>
+    Then it is refused as malformed
+
+    Examples:
+      | field        | value    |
+      | warmup_per_s | -1       |
+      | warmup_per_s | 1e999    |
+      | warmup_per_s | 1e10     |
+      | warmup_per_s | "2"      |
+      | warmup_per_s | null     |
+      | warmup_per_s | true     |
+      | warmup_s     | "soon"   |
+      | name         | 5        |
+
   # Guards against a start with invalid settings.
   Scenario Outline: Invalid settings are rejected with the name of the field
     Given settings of a side machine in which <field> is <value>
--- a/features/steps/forward_balancer_steps.py
+++ b/features/steps/forward_balancer_steps.py
@@ -1,14 +1,17 @@
 import contextlib
+import json
 import random
 from unittest import mock
 
 from behave import given
 from behave import then
 from behave import when
+import msgspec
 
 from crocusmux.core.forward import chooser
 from crocusmux.core.forward import flow_table
 from crocusmux.core.forward import openings
+from crocusmux.core.forward import outputs
 from crocusmux.core.forward import reports
 from crocusmux.core.forward import routes
 from crocusmux.core.forward import upstreams
@@ -120,18 +123,20 @@
 
 
 @when("the agent that was offered the flow declines it")
-def offered_agent_declines(context):
-    reply = reports.OpeningDeclined(context.offered[0], context.key, "overload")
+@when('the agent that was offered the flow declines it as "{reason}"')
+def offered_agent_declines(context, reason="overload"):
+    reply = reports.OpeningDeclined(context.offered[0], context.key, reason)
     context.outs = context.core.on_message(context.now, reply)
 
 
 @when("every agent that is offered the flow declines it")
-def all_decline(context):
+@when('every agent that is offered the flow declines it as "{reason}"')
+def all_decline(context, reason="overload"):
     for _ in range(10):
         hosts = balancer_sample.offered_hosts(context)
         if not hosts:
             return
-        message = reports.OpeningDeclined(hosts[0], context.key, "overload")
+        message = reports.OpeningDeclined(hosts[0], context.key, reason)
         context.outs = context.core.on_message(context.now, message)
     raise AssertionError("the flow is offered without end")
 
@@ -286,7 +291,11 @@
 
 
 @when("agent {host} alone declines {count:d} flows, and then all report")
-def declines_many(context, host, count):
+@when(
+    'agent {host} alone declines {count:d} flows as "{reason}", and then all'
+    " report"
+)
+def declines_many(context, host, count, reason="overload"):
     others = "abcd".replace(host, "")
     balancer_sample.report_all(context, others, accepting=False)
     for port in range(count):
@@ -294,9 +303,9 @@
         context.core.on_segment(
             context.now, balancer_sample.segment(key, opening=True)
         )
-        message = reports.OpeningDeclined(host, key, "overload")
+        message = reports.OpeningDeclined(host, key, reason)
         context.core.on_message(context.now, message)
-        context.now += 0.05
+        context.now += 0.05 if reason == "overload" else 0.0
     balancer_sample.report_all(context, "abcd")
 
 
@@ -427,3 +436,108 @@
 @then("agent {host} was offered the flow")
 def was_offered(context, host):
     assert context.offered + balancer_sample.offered_hosts(context) == [host]
+
+
+@when('agent a declines 2 flows at once, as "{first}" and "{second}"')
+def declines_two(context, first, second):
+    balancer_sample.report_all(context, "bcd", accepting=False)
+    keys = [balancer_sample.flow_key(20_000 + n) for n in range(2)]
+    for key in keys:
+        seg = balancer_sample.segment(key, opening=True)
+        context.core.on_segment(context.now, seg)
+    for key, reason in zip(keys, (first, second), strict=True):
+        message = reports.OpeningDeclined("a", key, reason)
+        outs = context.core.on_message(context.now, message)
+        assert any(isinstance(o, outputs.Event) for o in outs), outs
+
+
+@when(
+    "a configuration of version {version:d} limits {service} to {rate:g} a"
+    " second"
+)
+def limit_service(context, version, service, rate):
+    cfg = msgspec.structs.replace(
+        balancer_sample.configuration(version),
+        warmup_rates=((service, rate),),
+    )
+    context.outs = context.core.configure(cfg)
+
+
+def subscriptions(context):
+    return [
+        o
+        for o in context.outs
+        if isinstance(o, outputs.ToPeer)
+        and isinstance(o.message, reports.Subscribe)
+    ]
+
+
+@then("it sends the rates {rates}")
+def check_rates(context, rates):
+    sent = {
+        balancer_sample.host_with_control(context, o.to): o.message.warmup_per_s
+        for o in subscriptions(context)
+    }
+    pairs = [x.split("=") for x in rates.replace(" and ", ", ").split(", ")]
+    assert sent == {host: float(rate) for host, rate in pairs}, sent
+
+
+@then("a peer's configuration with the rate {rate} cannot be decoded")
+def check_rate_refused(context, rate):
+    cfg = msgspec.to_builtins(balancer_sample.configuration(6))
+    cfg["warmup_rates"] = [["rounds", 2.0]]
+    msgspec.json.decode(json.dumps(cfg), type=routes.Configuration)
+    cfg["warmup_rates"].append(["wheelbook", float(rate)])
+    try:
+        msgspec.json.decode(json.dumps(cfg), type=routes.Configuration)
+    except msgspec.ValidationError as exc:
+        assert "wheelbook" in str(exc), exc
+        return
+    raise AssertionError("it was taken")
+
+
+class OlderSubscribe(msgspec.Struct, frozen=True, tag="s", array_like=True):
+    """The message of releases without a rate."""
+
+    balancer: str
+    address: tuple[str, int]
+    config_version: int
+    config_source: str
+    valid_s: float
+    interval_s: float
+    report_now: bool = False
+    compact: bool = False
+
+
+OLDER = OlderSubscribe("edge-1", ("10.0.0.9", 7720), 5, "", 10, 0.25, True)
+
+
+@then("a subscription of an older release has no rate")
+def check_older(context):
+    data = msgspec.msgpack.encode(OLDER)
+    message = msgspec.msgpack.decode(data, type=reports.Message)
+    assert message.warmup_per_s == 0.0
+    assert (message.interval_s, message.report_now) == (0.25, True)
+
+
+@then("a subscription with the rate {rate:g} is read by an older release")
+def check_newer(context, rate):
+    values = msgspec.structs.asdict(OLDER)
+    message = reports.Subscribe(**values, warmup_per_s=rate)
+    data = msgspec.msgpack.encode(message)
+    assert msgspec.msgpack.decode(data, type=OlderSubscribe) == OLDER
+    assert msgspec.msgpack.decode(data, type=reports.Message) == message
+
+
+@then(
+    "its subscriptions are {count:d} byte longer than those of an older release"
+)
+def check_length(context, count):
+    sent = subscriptions(context)
+    assert len(sent) == 4, sent
+    for output in sent:
+        data = msgspec.msgpack.encode(output.message)
+        older = msgspec.msgpack.decode(data, type=OlderSubscribe)
+        # Whole seconds are sent as integers.
+        older = msgspec.structs.replace(older, valid_s=output.message.valid_s)
+        assert len(data) - len(msgspec.msgpack.encode(older)) == count
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from crocusmux import errors
+from crocusmux.core.forward import routes
 from crocusmux.core.forward import segments
 from crocusmux.platform import configuration
 from crocusmux.platform import host_settings
@@ -237,6 +238,45 @@
     assert points.count("rounds") == 90 and points.count("wheelbook") == 10
 
 
+@given("a desired state with services of several warm-up rates")
+def state_with_rates(context):
+    state = desired_state()
+    state["services"] = [
+        {"name": "rounds", "warmup_s": 2.0, "warmup_per_s": 12.5},
+        {"name": "wheelbook", "warmup_per_s": 3, "max_connections": 2000},
+        {"name": "zero", "warmup_s": 2, "warmup_per_s": 0.0},
+        {"name": "absent", "protocol": "h1"},
+    ]
+    context.spec = json.dumps(state).encode()
+
+
+@then(
+    "the limits are {rounds:g} for rounds and {wheelbook:g} for wheelbook, and"
+    " none for others"
+)
+def check_limits(context, rounds, wheelbook):
+    cfg = configuration.decode(context.spec)
+    assert dict(cfg.warmup_rates) == {"rounds": rounds, "wheelbook": wheelbook}
+    table = routes.RouteTable()
+    assert table.apply_if_newer(cfg)
+    names = ("rounds", "wheelbook", "zero", "absent", "unknown")
+    found = [table.warmup_per_s(name) for name in names]
+    assert found == [rounds, wheelbook, 0, 0, 0], found
+
+
+@given("a desired state whose service has {field:w} {value}")
+def invalid_service(context, field, value):
+    service = json.dumps({"name": "rounds", "warmup_per_s": 2.0})
+    fields = {"name": '"rounds"', "warmup_per_s": "2.0", field: value}
+    text = ", ".join(f'"{name}": {x}' for name, x in fields.items())
+    state = {**desired_state(), "services": ["SERVICE"]}
+    valid = json.dumps(state).replace('"SERVICE"', service)
+    assert configuration.decode(valid.encode()).warmup_rates
+    context.spec = (
+        json.dumps(state).replace('"SERVICE"', f"{{{text}}}").encode()
+    )
+
+
 @then("it is refused as malformed")
 def state_rejected(context):
     try:
