--- a/features/steps/bad_input_steps.py
+++ b/features/steps/bad_input_steps.py
@@ -33,6 +33,7 @@
 CONFIGURATION = {
     "version": 3,
     "limits": {"idle_timeout_ms": 9000},
+    "services": [{"name": "rounds", "warmup_s": 2.0, "warmup_per_s": 3.0}],
     "routes": [
         {
             "name": "r",
@@ -229,7 +230,12 @@
     masks = strategies.integers(0, 2**64 - 1)
     flows = strategies.lists(strategies.tuples(KEYS, SEQUENCES), max_size=4)
     reasons = strategies.sampled_from(
-        [reports.DECLINED_OVERLOAD, reports.DECLINED_LEAVING, "unknown"]
+        [
+            reports.DECLINED_OVERLOAD,
+            reports.DECLINED_LEAVING,
+            reports.DECLINED_WARMING,
+            "unknown",
+        ]
     )
     services = strategies.sampled_from(["rounds", "wheelbook", ""])
     numbers = strategies.floats(0, 1e6)
