--- a/features/forward_agent.feature
+++ b/features/forward_agent.feature
@@ -386,6 +386,8 @@
     Then the upstream gets all of the retransmissions
     When 20 openings arrive within 10 ms
     Then 1 of them are accepted and the others declined as "warming-up"
+    When the accepted openings are retransmitted 3 times
+    Then the upstream gets all of the retransmissions
 
   # Guards against a limit that outlasts the warm-up, as the next heartbeat may
   # be late or lost.
--- a/features/steps/forward_agent_steps.py
+++ b/features/steps/forward_agent_steps.py
@@ -591,10 +591,10 @@
 @when("the accepted openings are retransmitted {count:d} times")
 def retransmit_accepted(context, count):
     context.retransmitted = 0
+    context.retransmit_count = count * len(context.accepted)
     for _ in range(count):
         for key in context.accepted:
             from_balancer(context, segment(key, opening=True, ack=1))
-            assert not messages(context, reports.OpeningDeclined)
             context.retransmitted += len(
                 outputs_of(context, outputs.ToUpstream)
             )
@@ -602,7 +602,8 @@
 
 @then("the upstream gets all of the retransmissions")
 def check_retransmissions(context):
-    assert context.retransmitted == 27, context.retransmitted
+    expected = context.retransmit_count
+    assert context.retransmitted == expected > 0, context.retransmitted
 
 
 @when("the upstream returns all accepted openings")
