Send no new flow to upstreams of evacuated failure domains

Operators could not take a failure domain out of use without stopping its upstreams. Balancers now follow the objects of the kind evacuations if bounds.evacuate_ms is set, and neither place nor repeat openings there.

--- a/crocusmux/core/forward/balancer.py
+++ b/crocusmux/core/forward/balancer.py
@@ -6,6 +6,7 @@
 
 from crocusmux.core.forward import agent_table
 from crocusmux.core.forward import chooser
+from crocusmux.core.forward import evacuations
 from crocusmux.core.forward import flow_table
 from crocusmux.core.forward import holder_resolver
 from crocusmux.core.forward import openings
@@ -41,6 +42,11 @@
 OPENING_TIMEOUT_S = 0.15
 # Upstreams to which a new flow is offered in one turn.
 MAX_OFFERS = 3
+# Reasons of refusals: the service has no upstreams that live, or those that live
+# are evacuated, or none had a free slot in time.
+REFUSED_NO_UPSTREAM = "no-upstream"
+REFUSED_EVACUATED = "evacuated"
+REFUSED_LATE = "no-upstream-in-time"
 # Decline reasons that may pass before the caller gives up.
 TRANSIENT_REASONS = (
     reports.DECLINED_OVERLOAD,
@@ -58,6 +64,7 @@
         routes: The configuration in force.
         agent_table: All agents, with the load of their upstreams.
         flows: Connection tracking.
+        evacuated: Failure domains whose upstreams get no new flows.
         newest_config: Newest configuration version in any agent's report, and
             the address that serves it.
     """
@@ -82,6 +89,7 @@
         self.routes = routes.RouteTable()
         self.agent_table = agent_table.AgentTable(failure_domain)
         self.flows = flow_table.FlowTable()
+        self.evacuated = evacuations.EvacuatedDomains()
         self.newest_config = (0, "")
         self._host = host
         self._address = address
@@ -89,10 +97,10 @@
         self._rng = rng
         self._openings = openings.OpeningQueue()
         self._chooser = chooser.UpstreamChooser(
-            self.agent_table, failure_domain, rng
+            self.agent_table, failure_domain, rng, self.evacuated
         )
         self._resolver = holder_resolver.HolderResolver(
-            self.routes, self.agent_table, self.flows
+            self.routes, self.agent_table, self.flows, self.evacuated
         )
         self._next_subscribe_at = 0.0
         self._next_resubscribe_at = 0.0
@@ -132,6 +140,47 @@
             return []
         return [outputs.Event("agent-removed", b"", f"agent={host}", True)]
 
+    def update_evacuations(
+        self,
+        now: float,
+        domains: Iterable[str],
+        removed: Iterable[str] = (),
+        full: bool = False,
+    ) -> Outputs:
+        """Applies evacuated failure domains.
+
+        Args:
+            now: Time in seconds.
+            domains: Evacuated failure domains.
+            removed: Failure domains whose evacuation has ended.
+            full: True if all others are not evacuated.
+        """
+        begun, ended = self.evacuated.update(domains, removed, full)
+        sent: Outputs = [
+            outputs.Event("evacuate", b"", f"domain={domain}", True)
+            for domain in begun
+        ]
+        sent += [
+            outputs.Event("evacuation-ended", b"", f"domain={domain}", True)
+            for domain in ended
+        ]
+        if begun:
+            sent += self._refuse_evacuated(now)
+        return sent
+
+    def _refuse_evacuated(self, now: float) -> Outputs:
+        """Refuses the queued flows whose service is evacuated as a whole."""
+        sent: Outputs = []
+        for pending in self._openings.all():
+            if pending.flow.offered_hosts:
+                continue
+            agents = self.agent_table.for_services((pending.flow.service,))
+            if self._refusal_reason(now, agents) == REFUSED_EVACUATED:
+                sent += self._refuse_flow(
+                    pending.key, pending.flow, REFUSED_EVACUATED
+                )
+        return sent
+
     def ready(self) -> bool:
         """Returns True if new flows can be placed or refused."""
         if self.routes.version == 0:
@@ -150,6 +199,11 @@
             return self._on_opening(now, seg, flow)
         if flow is None:
             return self._on_unknown_flow(now, seg)
+        if seg.opening:
+            if self._reuses_key(seg, flow):
+                self.flows.remove(seg.key)
+                return self._on_new_flow(now, seg)
+            flow.opening_seq = seg.seq
         if not flow.open:
             self._openings.remove(seg.key)
         if not seg.opening:
@@ -169,11 +223,33 @@
             flow.opening_segment = seg
         if not flow.offered_hosts or now - flow.offered_at >= OPENING_TIMEOUT_S:
             return self._reoffer(now, seg, flow)
+        if self._is_evacuated(flow.offered_hosts[-1]):
+            return self._place(now, seg, flow)
         upstream = self.agent_table.get(flow.offered_hosts[-1])
         return [holder_resolver.to_agent(seg, upstream)] if upstream else []
 
+    def _is_evacuated(self, host: str) -> bool:
+        """Returns True if a host's upstream gets no openings."""
+        upstream = self.agent_table.get(host)
+        return (
+            upstream is not None
+            and upstream.record.failure_domain in self.evacuated
+        )
+
+    def _reuses_key(self, seg: segments.Segment, flow: flow_table.Flow) -> bool:
+        """Returns True for a new flow with the key of an open one.
+
+        The holder of the former flow gets such an opening, and decides whether
+        it is a late duplicate.  It must not get it while it is evacuated.
+        """
+        return (
+            flow.opening_seq not in (None, seg.seq)
+            and flow.lookup is None
+            and self._is_evacuated(flow.holder)
+        )
+
     def _on_new_flow(self, now: float, seg: segments.Segment) -> Outputs:
-        if self.routes.version == 0:
+        if self.routes.version == 0 or not self.evacuated.known(now):
             return []
         route = self.routes.find_route(seg.key)
         if route is None:
@@ -181,6 +257,7 @@
         flow = self.flows.add(now, seg.key)
         flow.service = route.pick_service(self._rng.random())
         flow.opening_segment = seg
+        flow.opening_seq = seg.seq
         return self._place(now, seg, flow)
 
     def _reoffer(
@@ -216,22 +293,42 @@
     def _on_no_upstream(
         self, now: float, seg: segments.Segment, flow: flow_table.Flow
     ) -> Outputs:
-        if flow.offered_hosts:
+        hosts = [x for x in flow.offered_hosts if not self._is_evacuated(x)]
+        if hosts:
             # The last upstream may still answer the caller's next SYN.
-            upstream = self.agent_table.get(flow.offered_hosts[-1])
+            self._openings.remove(seg.key)
+            upstream = self.agent_table.get(hosts[-1])
             return [holder_resolver.to_agent(seg, upstream)] if upstream else []
         route = self.routes.find_route(seg.key)
         agents = self.agent_table.for_services((flow.service,))
-        all_lost = self.agent_table.complete and all(
-            upstream.lost(now) for upstream in agents
-        )
-        if route is None or all_lost:
-            return self._refuse_flow(seg.key, flow, "no-upstream")
-        queued = seg.key in self._openings
-        pending = openings.PendingOpening(seg.key, flow, route)
-        if self._openings.add(now, pending):
-            return [] if queued else [self._wait_event(seg.key, flow, agents)]
-        return self._refuse_flow(seg.key, flow, "no-upstream-in-time")
+        reason = REFUSED_NO_UPSTREAM
+        if route is not None:
+            reason = self._refusal_reason(now, agents)
+            queued = seg.key in self._openings
+            pending = openings.PendingOpening(seg.key, flow, route)
+            if not reason and self._openings.add(now, pending):
+                event = self._wait_event(seg.key, flow, agents)
+                return [] if queued else [event]
+        if flow.offered_hosts:
+            # An evacuated upstream may have accepted the flow, so a refusal
+            # could follow a request that runs.
+            self._openings.remove(seg.key)
+            return []
+        return self._refuse_flow(seg.key, flow, reason or REFUSED_LATE)
+
+    def _refusal_reason(
+        self, now: float, agents: agent_table.ServiceAgents
+    ) -> str:
+        """Returns why no agent of a service will accept a flow, or ""."""
+        if not self.agent_table.complete:
+            return ""
+        evacuated = False
+        for upstream in agents:
+            if upstream.record.failure_domain in self.evacuated:
+                evacuated = True
+            elif not upstream.lost(now):
+                return ""
+        return REFUSED_EVACUATED if evacuated else REFUSED_NO_UPSTREAM
 
     def _refuse_flow(
         self, key: bytes, flow: flow_table.Flow, reason: str
@@ -357,9 +454,11 @@
             self.flows.expire(now - idle_s)
         sent += self._resolver.on_timer(now)
         for pending in self._openings.pop_expired(now):
-            sent += self._refuse_flow(
-                pending.key, pending.flow, "no-upstream-in-time"
-            )
+            # An evacuated upstream may have accepted a flow offered to it.
+            if not pending.flow.offered_hosts:
+                sent += self._refuse_flow(
+                    pending.key, pending.flow, REFUSED_LATE
+                )
         sent += self._place_pending(now)
         return sent
 
--- a/crocusmux/core/forward/chooser.py
+++ b/crocusmux/core/forward/chooser.py
@@ -1,5 +1,6 @@
 """Choice of the upstream for a new flow, among those that a flow prefers."""
 
+from collections.abc import Container
 import random
 
 from crocusmux.core.forward import agent_table
@@ -27,6 +28,7 @@
 
     __slots__ = (
         "_agent_table",
+        "_evacuated",
         "_failure_domain",
         "_flow_densities",
         "_next_scans",
@@ -38,9 +40,18 @@
         agents: agent_table.AgentTable,
         failure_domain: str,
         rng: random.Random,
+        evacuated: Container[str] = (),
     ) -> None:
-        """Creates a chooser for a balancer in a failure domain."""
+        """Creates a chooser for a balancer in a failure domain.
+
+        Args:
+            agents: All agents.
+            failure_domain: Failure domain of the balancer.
+            rng: Source of random numbers.
+            evacuated: Failure domains whose upstreams are not chosen.
+        """
         self._agent_table = agents
+        self._evacuated = evacuated
         self._failure_domain = failure_domain
         self._rng = rng
         # Time from which all agents may be scanned again, by service.
@@ -64,7 +75,11 @@
         """
 
         def usable(upstream: upstreams.Upstream) -> bool:
-            return upstream.record.host not in tried and upstream.accepts(now)
+            return (
+                upstream.record.host not in tried
+                and upstream.record.failure_domain not in self._evacuated
+                and upstream.accepts(now)
+            )
 
         agents = self._agent_table.for_services((service,))
         local = agents.preferred_local(key, usable, MAX_CANDIDATES)
@@ -91,13 +106,22 @@
         return selection.choose(local, lambda: remote, domain, rng, density)
 
     def _mean_flow_density(self, now: float, service: str) -> float:
-        """Returns the open flows of a service per unit of its capacity."""
+        """Returns the open flows of a service per unit of its capacity.
+
+        Upstreams of evacuated domains are left out: they keep fewer and fewer
+        flows, and all others would seem to have more than their share.
+        """
         cached = self._flow_densities.get(service)
         if cached is None or now - cached[0] > FLOW_DENSITY_INTERVAL_S:
             agents = list(self._agent_table.for_services((service,)))
             if len(agents) > FLOW_DENSITY_SAMPLE:
                 agents = self._rng.sample(agents, FLOW_DENSITY_SAMPLE)
-            live = [upstream for upstream in agents if not upstream.silent(now)]
+            live = [
+                upstream
+                for upstream in agents
+                if upstream.record.failure_domain not in self._evacuated
+                and not upstream.silent(now)
+            ]
             cached = now, selection.flow_density(live)
             self._flow_densities[service] = cached
         return cached[1]
--- /dev/null
+++ b/crocusmux/core/forward/evacuations.py
@@ -0,0 +1,62 @@
+"""Failure domains that operators have evacuated."""
+
+from collections.abc import Iterable, Iterator
+
+
+class EvacuatedDomains:
+    """The evacuated failure domains, as one balancer knows them.
+
+    Without ``expect_list`` they count as known, as no domain is ever evacuated
+    in a deployment that does not use evacuations.
+    """
+
+    __slots__ = ("_expected_until", "_names")
+
+    def __init__(self) -> None:
+        """Creates an empty set that is known."""
+        self._names: set[str] = set()
+        self._expected_until = float("-inf")
+
+    def __contains__(self, domain: object) -> bool:
+        return domain in self._names
+
+    def __iter__(self) -> Iterator[str]:
+        return iter(self._names)
+
+    def expect_list(self, until: float) -> None:
+        """Counts the set as unknown until a list arrives or a time, seconds."""
+        self._expected_until = until
+
+    def known(self, now: float) -> bool:
+        """Returns True if a list has arrived or is no longer waited for."""
+        return now >= self._expected_until
+
+    def update(
+        self, domains: Iterable[str], removed: Iterable[str], full: bool
+    ) -> tuple[list[str], list[str]]:
+        """Applies a list, or the changes of a watch.
+
+        Args:
+            domains: Evacuated failure domains.
+            removed: Failure domains whose evacuation has ended.
+            full: True if all others are not evacuated.
+
+        Returns:
+            The domains whose evacuation begins, and those where it ends.
+        """
+        self._expected_until = float("-inf")
+        before = self._names
+        kept = set() if full else before.difference(removed)
+        self._names = kept.union(domains)
+        return sorted(self._names - before), sorted(before - self._names)
+
+
+def check_domain(name: str) -> None:
+    """Checks a name that is to be that of a failure domain.
+
+    Raises:
+        ValueError: The name is empty or has characters that cannot be printed,
+            which would forge log lines.
+    """
+    if not name or not name.isprintable():
+        raise ValueError(f"not the name of a failure domain: {name!r}")
--- a/crocusmux/core/forward/flow_table.py
+++ b/crocusmux/core/forward/flow_table.py
@@ -20,6 +20,7 @@
         busy_hosts: Hosts that declined the opening for now.
         declined_hosts: Hosts that declined the opening for good.
         opening_segment: The caller's SYN until the flow is open.
+        opening_seq: Sequence number of that SYN; None without one here.
         last_segment: The newest segment while the holder is only assumed.
         lookup: Lookup of the holder; None without one.
         ack: The caller's last acknowledgement.
@@ -45,6 +46,7 @@
         "open",
         "opened_at",
         "opening_segment",
+        "opening_seq",
         "probed_at",
         "service",
     )
@@ -58,6 +60,7 @@
         self.busy_hosts: set[str] = set()
         self.declined_hosts: set[str] = set()
         self.opening_segment: segments.Segment | None = None
+        self.opening_seq: int | None = None
         self.lookup: holder_lookup.HolderLookup | None = None
         self.last_segment: segments.Segment | None = None
         self.ack = 0
--- a/crocusmux/core/forward/holder_resolver.py
+++ b/crocusmux/core/forward/holder_resolver.py
@@ -1,6 +1,6 @@
 """Resolves the holders of flows that a balancer does not know."""
 
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 
 from crocusmux.core.forward import agent_table
 from crocusmux.core.forward import flow_queries
@@ -37,6 +37,7 @@
 
     __slots__ = (
         "_agent_table",
+        "_evacuated",
         "_flows",
         "_listing_began_at",
         "_lookups",
@@ -50,6 +51,7 @@
         route_table: routes.RouteTable,
         agents: agent_table.AgentTable,
         flows: flow_table.FlowTable,
+        evacuated: Container[str],
     ) -> None:
         """Creates a resolver without lookups.
 
@@ -57,10 +59,13 @@
             route_table: The configuration in force.
             agents: All agents.
             flows: Connection tracking of the balancer.
+            evacuated: Failure domains whose upstreams get no openings, not even
+                late duplicates; all other segments of open flows reach them.
         """
         self._routes = route_table
         self._agent_table = agents
         self._flows = flows
+        self._evacuated = evacuated
         self._lookups: dict[bytes, flow_table.Flow] = {}
         self._queries = flow_queries.FlowQueries()
         self._listing_began_at = float("-inf")
@@ -90,7 +95,7 @@
         known = [self._agent_table.get(host) for host in hosts]
         probed = [upstream for upstream in known if upstream]
         self._start_lookup(now, seg, flow).begin_with(now, probed)
-        return [_make_probe(seg, upstream) for upstream in probed]
+        return self._make_probes(seg, probed)
 
     def on_timer(self, now: float) -> Outputs:
         """Starts the rounds of lookups that are due, and drops idle lookups."""
@@ -160,6 +165,8 @@
             flow.holder = ""
             flow.holder_confirmed = False
             return self.resolve(now, seg, flow)
+        if self._withheld(seg, upstream):
+            return []
         if flow.holder_confirmed:
             return [to_agent(seg, upstream)]
         # Kept for a lookup in case the assumed holder denies the flow.
@@ -265,7 +272,23 @@
 
     def _probe_uncertain(self, lookup: holder_lookup.HolderLookup) -> Outputs:
         known = [self._agent_table.get(x) for x in lookup.take_uncertain()]
-        return [_make_probe(lookup.probe_segment, x) for x in known if x]
+        return self._make_probes(lookup.probe_segment, [x for x in known if x])
+
+    def _make_probes(
+        self, seg: segments.Segment, probed: Iterable[upstreams.Upstream]
+    ) -> Outputs:
+        return [
+            _make_probe(seg, upstream)
+            for upstream in probed
+            if not self._withheld(seg, upstream)
+        ]
+
+    def _withheld(
+        self, seg: segments.Segment, upstream: upstreams.Upstream
+    ) -> bool:
+        """Returns True for an opening to an upstream that is evacuated."""
+        domain = upstream.record.failure_domain
+        return seg.opening and domain in self._evacuated
 
     def _possible_holders(
         self, lookup: holder_lookup.HolderLookup
--- a/crocusmux/core/forward/openings.py
+++ b/crocusmux/core/forward/openings.py
@@ -71,6 +71,10 @@
         """Removes a flow that was placed or refused."""
         self._pending.pop(key, None)
 
+    def all(self) -> list[PendingOpening]:
+        """Returns all queued flows."""
+        return list(self._pending.values())
+
     def pop_expired(self, now: float) -> list[PendingOpening]:
         """Removes and returns the flows whose deadline has passed."""
         expired = [x for x in self._pending.values() if x.deadline <= now]
--- a/crocusmux/daemons/forward_balancer.py
+++ b/crocusmux/daemons/forward_balancer.py
@@ -1,7 +1,7 @@
 """Forwarding balancer daemon: sockets, timers, HTTP, store and peers."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 import itertools
 import logging
 import random
@@ -12,6 +12,7 @@
 from crocusmux import errors
 from crocusmux import forwarding
 from crocusmux.core.forward import balancer
+from crocusmux.core.forward import evacuations
 from crocusmux.core.forward import outputs
 from crocusmux.core.forward import reports
 from crocusmux.core.forward import segments
@@ -36,6 +37,12 @@
 # Delay after a configuration until the next watch: a small part of the three
 # seconds within which a change must be in force.
 CONFIG_BATCH_DELAY_S = 0.25
+# The same after an evacuation, of which the bound is five seconds.
+EVACUATION_BATCH_DELAY_S = 0.25
+# Longest wait of a new balancer for the evacuated domains.  A peer or the store
+# usually tells them together with the configuration; beyond this the balancer
+# serves without them, as no service at all would be worse.
+EVACUATIONS_WAIT_S = 3.0
 # Interval between attempts to get the state of a peer at the start.
 SEED_INTERVAL_S = 0.5
 # Attempts to learn the former services of routes once the store has answered.
@@ -94,6 +101,19 @@
             rng,
             CONFIG_BATCH_DELAY_S,
         )
+        self._followers = [self._config_follower, self._agent_follower]
+        if cfg.evacuations:
+            self._evacuation_follower = follow.Follower(
+                adapter.store,
+                adapter.evacuation_kind,
+                self._on_evacuation_changes,
+                rng,
+                EVACUATION_BATCH_DELAY_S,
+            )
+            self._followers.append(self._evacuation_follower)
+            self.core.evacuated.expect_list(
+                self._loop.time() + EVACUATIONS_WAIT_S
+            )
 
     async def start(self) -> None:
         """Starts the HTTP servers, the timers and the watches on the store."""
@@ -102,8 +122,7 @@
         for address in {cfg.control, cfg.metrics} - {cfg.readiness}:
             self._servers.append(forward.serve(address, self._on_request))
         for coroutine in (
-            self._config_follower.run(),
-            self._agent_follower.run(),
+            *(follower.run() for follower in self._followers),
             self._seed_from_peers(),
             self._tick(),
         ):
@@ -160,6 +179,26 @@
                 continue
             self._execute(self.core.configure(cfg))
 
+    def _on_evacuation_changes(self, changes: forwarding.Changes) -> None:
+        names = self._check_domains(item.name for item in changes.items)
+        self._execute(
+            self.core.update_evacuations(
+                self._loop.time(), names, changes.removed, changes.full
+            )
+        )
+
+    def _check_domains(self, names: Iterable[str]) -> list[str]:
+        """Returns the well-formed names of evacuated failure domains."""
+        checked = []
+        for name in names:
+            try:
+                evacuations.check_domain(name)
+            except ValueError as exc:
+                self._messenger.record_bad_input(exc, repr(name))
+                continue
+            checked.append(name)
+        return checked
+
     def _list_agents(self) -> None:
         """Reads the list of agents beside the watch, one call at a time."""
         if self._list_task is None or self._list_task.done():
@@ -237,8 +276,8 @@
             self._knows_former_services = True
 
     def _store_answered(self) -> bool:
-        """Returns True once both kinds of objects have been listed."""
-        return self._config_follower.listed and self._agent_follower.listed
+        """Returns True once all kinds of objects have been listed."""
+        return all(follower.listed for follower in self._followers)
 
     async def _fetch_state(self, source: str) -> None:
         response = await self._fetch_http(
@@ -258,6 +297,21 @@
         if not self._agent_follower.listed:
             for record in state.agents:
                 self._execute(self.core.add_agent(self._loop.time(), record))
+        self._learn_evacuations(state)
+
+    def _learn_evacuations(self, state: forwarding.PeerState) -> None:
+        """Adds the evacuated domains of a peer until the store has answered.
+
+        None is removed, as the peer may have started just before.
+        """
+        if not self._cfg.evacuations or self._evacuation_follower.listed:
+            return
+        # A peer without a configuration has not been told of them either.
+        if state.config.version:
+            names = self._check_domains(state.evacuated)
+            self._execute(
+                self.core.update_evacuations(self._loop.time(), names)
+            )
 
     async def _tick(self) -> None:
         while True:
@@ -279,7 +333,8 @@
 
     def _on_request(self, req: httputil.HTTPServerRequest) -> tuple[int, bytes]:
         if req.path == self._adapter.ready_path:
-            ready = self.core.ready() and not self._stopping
+            known = self.core.evacuated.known(self._loop.time())
+            ready = self.core.ready() and known and not self._stopping
             return (OK if ready else UNAVAILABLE), b""
         if req.path == STATE_PATH:
             return OK, msgspec.msgpack.encode(self._state())
@@ -294,6 +349,7 @@
             self.core.routes.configuration,
             tuple(reporting),
             self.core.routes.former_services(),
+            tuple(sorted(self.core.evacuated)),
         )
 
 
--- a/crocusmux/forwarding.py
+++ b/crocusmux/forwarding.py
@@ -33,6 +33,7 @@
         grace_s: Time between SIGTERM and SIGKILL, seconds.
         first_start: True if the whole deployment starts for the first time, so
             that the store has no records yet.
+        evacuations: True if operators may evacuate failure domains.
         service: Service of the upstream beside an agent.
         upstream: Address of that upstream for segments.
         outbound: Address of the agent to which that upstream sends segments.
@@ -52,6 +53,7 @@
     heartbeat_s: float
     grace_s: float
     first_start: bool = False
+    evacuations: bool = False
     service: str = ""
     upstream: Address = ("", 0)
     outbound: Address = ("", 0)
@@ -156,6 +158,8 @@
         store: The object store.
         config_kind: Kind of the configuration object.
         agent_kind: Kind of the agents' announcements.
+        evacuation_kind: Kind of the objects that are named after the failure
+            domains which operators have evacuated.
         ready_path: Path of readiness checks.
         decode_from_caller: Decodes a datagram from a caller.  Raises
             ``errors.WireError``.
@@ -173,6 +177,7 @@
     store: Store
     config_kind: str
     agent_kind: str
+    evacuation_kind: str
     ready_path: str
     decode_from_caller: Callable[[bytes], segments.Segment]
     decode_from_upstream: Callable[[bytes], segments.Segment]
@@ -192,8 +197,11 @@
         agents: Agents that have reported to the sender.
         former_services: Former services of routes; a peer of an older release
             sends none.
+        evacuated: Evacuated failure domains that the sender knows; a peer of an
+            older release sends none.
     """
 
     config: routes.Configuration
     agents: tuple[upstreams.AgentRecord, ...]
     former_services: tuple[routes.FormerServices, ...] = ()
+    evacuated: tuple[str, ...] = ()
--- a/crocusmux/platform/__main__.py
+++ b/crocusmux/platform/__main__.py
@@ -24,6 +24,7 @@
         store=store.Store(cfg.store),
         config_kind="config",
         agent_kind="agents",
+        evacuation_kind="evacuations",
         ready_path="/crocusmux/ready",
         decode_from_caller=packets.decode_from_caller,
         decode_from_upstream=packets.decode_from_upstream,
--- a/crocusmux/platform/host_settings.py
+++ b/crocusmux/platform/host_settings.py
@@ -26,6 +26,8 @@
 
 class _Bounds(msgspec.Struct):
     grace_s: float = 6.0
+    # Time within which an evacuation is in force; None without evacuations.
+    evacuate_ms: float | None = None
 
 
 class _Platform(msgspec.Struct):
@@ -97,6 +99,7 @@
         heartbeat_s=fields.heartbeat_ms / 1000,
         grace_s=fields.bounds.grace_s,
         first_start=fields.bootstrap,
+        evacuations=fields.bounds.evacuate_ms is not None,
         service=fields.service,
         upstream=addresses.split(fields.app) if agent else ("", 0),
         outbound=addresses.split(listen.outbound) if agent else ("", 0),
