--- a/features/forward_balancer.feature
+++ b/features/forward_balancer.feature
@@ -520,3 +520,212 @@
     And a caller opens a flow to rounds
     And 0.1 s pass
     Then agent h17 was offered the flow
+
+  # Guards against new flows to upstreams that are to be left alone: by the
+  # preference for the own domain, for lack of room in it, or at random.
+  Scenario Outline: A new flow goes to no upstream of an evacuated domain
+    Given a balancer in abay with the agents a, b there and c, d in enbek
+    When <domain> is evacuated
+    And the agents a, b report <count> requests in progress
+    And 200 callers open flows to rounds
+    Then agents <hosts> are offered none of them
+
+    Examples:
+      | domain | count | hosts |
+      | abay   | 0     | a, b  |
+      | enbek  | 0     | c, d  |
+      | enbek  | 8     | c, d  |
+
+  # Guards against a new flow to the one agent that accepts some, found by the
+  # scan of all agents: h17 is in enbek.
+  Scenario Outline: A scan of all agents skips those of evacuated domains
+    Given a balancer with 600 agents of rounds in 4 failure domains
+    When all agents but h17 decline new flows
+    And <domain> is evacuated
+    And a caller opens a flow to rounds
+    And 0.1 s pass
+    Then <outcome>
+
+    Examples:
+      | domain | outcome                                                   |
+      | enbek  | no agent is offered the flow and the caller gets no reset |
+      | abay   | agent h17 was offered the flow                            |
+
+  # Guards against an opening that reaches an upstream after its domain was
+  # evacuated: a retransmission before or after the time-out of an offer.
+  Scenario Outline: A retransmitted opening goes to no evacuated upstream
+    Given a balancer in abay with the agents a, b there and c, d in enbek
+    When a caller opens a flow to rounds
+    Then one agent in abay alone is offered the flow
+    When abay is evacuated
+    And the caller retransmits its opening after <seconds> s
+    Then one agent in enbek alone is offered the flow
+    When the caller sends 1 segments
+    Then both offered agents are probed for it
+
+    Examples:
+      | seconds |
+      | 0.05    |
+      | 0.2     |
+
+  # Guards against an opening that is sent again to the evacuated upstream, or
+  # refused although that upstream may have accepted it, as no other has room.
+  # It is queued instead.
+  Scenario: A retransmitted opening waits for an upstream that is in use
+    Given a balancer in abay with the agents a, b there and c, d in enbek
+    When a caller opens a flow to rounds
+    And the agents c, d report that they take no flows
+    And abay is evacuated
+    And the caller retransmits its opening after 0.2 s
+    Then no agent is offered the flow and the caller gets no reset
+    When 0.05 s pass
+    Then no agent is offered the flow and the caller gets no reset
+    When the agents d report that they take new flows
+    Then one agent in enbek alone is offered the flow
+
+  # Guards against a refusal of a flow that the evacuated upstream may have
+  # accepted, so that its request may run.
+  Scenario Outline: A flow that was offered before an evacuation is not refused
+    Given a balancer in abay with the agents a, b there and c, d in enbek
+    When a caller opens a flow to rounds
+    And the agents c, d report that they take no flows
+    And <domains> evacuated
+    Then the caller gets no reset
+    When the caller retransmits its opening after 0.2 s
+    Then no agent is offered the flow and the caller gets no reset
+    When 1.3 s pass
+    Then no agent is offered the flow and the caller gets no reset
+    When the caller sends 1 segments
+    Then the segment goes to the agent that was offered the flow first
+
+    Examples:
+      | domains            |
+      | abay is            |
+      | abay and enbek are |
+
+  # Guards against an opening that returns to an evacuated upstream after a
+  # decline, as the last agent that was offered it or in the next turn.
+  Scenario: A declined opening goes to no evacuated upstream
+    Given a balancer in abay with the agents a, b there and c, d in enbek
+    When a caller opens a flow to rounds
+    And abay is evacuated
+    And the caller retransmits its opening after 0.2 s
+    And the agent that got the last offer declines it
+    Then one agent in enbek alone is offered the flow
+    When the agent that got the last offer declines it
+    Then no agent is offered the flow and the caller gets no reset
+    When 0.05 s pass
+    Then one agent in enbek alone is offered the flow
+
+  # Guards against the same for an upstream that itself declined the opening.
+  Scenario: An opening that an evacuated upstream declined goes elsewhere
+    Given a balancer in abay with the agents a, b there and c, d in enbek
+    When a caller opens a flow to rounds
+    And abay is evacuated
+    And the agent that got the last offer declines it
+    Then one agent in enbek alone is offered the flow
+
+  # Guards against queued flows that are placed by what held when they came.
+  Scenario: A queued opening goes to no evacuated upstream
+    Given a balancer in abay with the agents a, b there and c, d in enbek
+    When the agents a, b, c, d report that they take no flows
+    And a caller opens a flow to rounds
+    And abay is evacuated
+    And the agents a, b report that they take new flows
+    Then no agent is offered the flow and the caller gets no reset
+    When the agents c report that they take new flows
+    Then one agent in enbek alone is offered the flow
+
+  # Guards against callers that wait although no upstream will take their flow.
+  Scenario: A flow is refused at once if all domains of its service are evacuated
+    Given a balancer in abay with the agents a, b there and c, d in enbek
+    When abay and enbek are evacuated
+    And a caller opens a flow to rounds
+    Then no segment is sent
+    And the flow is refused because of the evacuation
+
+  # Guards against the same for flows that are queued when it happens.
+  Scenario: A queued flow is refused once all domains are evacuated
+    Given a balancer in abay with the agents a, b there and c, d in enbek
+    When the agents a, b, c, d report that they take no flows
+    And a caller opens a flow to rounds
+    And abay is evacuated
+    Then the caller gets no reset
+    When enbek is evacuated
+    Then the flow is refused because of the evacuation
+
+  # Guards against a domain that stays out of use.
+  Scenario Outline: A domain is used again once its evacuation has ended
+    Given a balancer in abay with the agents a, b there and c, d in enbek
+    When abay and enbek are evacuated
+    And <end>
+    And a caller opens a flow to rounds
+    Then one agent in abay alone is offered the flow
+    And the events evacuation-ended domain=abay are recorded
+
+    Examples:
+      | end                          |
+      | the evacuation of abay ends  |
+      | a full list names enbek only |
+
+  # Guards against events that are recorded for each list with the same content.
+  Scenario: An evacuation is recorded once
+    Given a balancer in abay with the agents a, b there and c, d in enbek
+    When enbek is evacuated
+    Then the events evacuate domain=enbek are recorded
+    When abay is evacuated
+    And a full list names abay only
+    Then the events evacuation-ended domain=enbek are recorded
+
+  # Guards against open flows that are moved, which would break them.
+  Scenario: Open flows of an evacuated domain keep their holder
+    Given a balancer in abay with the agents a, b there and c, d in enbek
+    When a caller opens a flow to rounds
+    And abay is evacuated
+    And the caller sends 20 segments
+    Then they all go to the agent that was offered the flow
+    When the agent that was offered the flow claims it
+    And the caller sends 20 segments
+    Then they all go to the agent that was offered the flow
+
+  # Guards against fault FLOW (a): an open flow of an evacuated domain that is
+  # not found after a re-hash.
+  Scenario: Agents of evacuated domains are queried for open flows
+    Given a balancer in abay with the agents a, b there and c, d in enbek
+    When abay and enbek are evacuated
+    And a segment of an unknown flow to rounds arrives
+    Then the agents a, b, c, d are queried for it
+    When agent b replies that it holds the flow
+    And the caller sends 3 segments
+    Then they all go to agent b
+
+  # Guards against an opening that counts as a new flow of the evacuated
+  # upstream: a late duplicate, or a flow from a port that is used again.
+  Scenario: An opening with the key of an open flow goes to no evacuated upstream
+    Given a balancer in abay with the agents a, b there and c, d in enbek
+    When a caller opens a flow to rounds
+    And the caller sends 1 segments
+    And the agent that was offered the flow claims it
+    And abay is evacuated
+    And the caller's opening arrives once more
+    Then no segment is sent
+    When the caller sends 1 segments
+    Then the segment goes to the agent that was offered the flow first
+    When the caller opens another flow from the same port
+    Then one agent in enbek alone is offered the flow
+
+  # Guards against a new balancer that sends flows to evacuated upstreams until
+  # it has learned of the evacuation, or that never serves without the list.
+  Scenario: A new balancer places no flow until it knows the evacuations
+    Given a balancer in abay with the agents a, b there and c, d in enbek
+    And the balancer waits 3 s for the list of evacuations
+    When a caller opens a flow to rounds
+    Then no agent is offered the flow and the caller gets no reset
+    When a full list names abay only
+    And a caller opens a flow to rounds
+    Then one agent in enbek alone is offered the flow
+    Given a balancer in abay with the agents a, b there and c, d in enbek
+    And the balancer waits 3 s for the list of evacuations
+    When 3 s pass with reports of all agents
+    And a caller opens a flow to rounds
+    Then one agent in abay alone is offered the flow
--- a/features/forward_path.feature
+++ b/features/forward_path.feature
@@ -156,3 +156,90 @@
     Then each daemon that got one counts it in its metrics
     When a caller opens a flow through balancer 1
     Then the caller gets a SYN+ACK
+
+  # Guards against an evacuation that is not in force within its bound, or that
+  # is not taken back.
+  Scenario: An evacuation through the store is in force and taken back within 5 s
+    Given a store with a route to rounds, evacuations, 2 balancers and agents of rounds in abay and enbek
+    When the operator evacuates abay
+    Then balancer 1 has evacuated abay within 5 s
+    And balancer 2 has evacuated abay within 5 s
+    And 20 new flows through balancer 1 go to upstreams 2
+    When the operator ends the evacuation of abay
+    Then balancer 1 has evacuated nothing within 5 s
+    And balancer 2 has evacuated nothing within 5 s
+    And 30 new flows through balancer 2 go to upstreams 1 and 2
+
+  # Guards against an evacuation that breaks open flows, or hides their holders
+  # from other balancers.
+  Scenario: An open flow survives the evacuation of its domain
+    Given a store with a route to rounds, evacuations, 2 balancers and agents of rounds in abay and enbek
+    When a caller opens a flow through balancer 1
+    Then the caller gets a SYN+ACK
+    When the caller acknowledges it through balancer 1
+    And the operator evacuates abay
+    And the operator evacuates enbek
+    Then balancer 1 has evacuated abay and enbek within 5 s
+    And balancer 2 has evacuated abay and enbek within 5 s
+    When the caller sends a request through balancer 2
+    Then the upstream that answered gets it once and the other one nothing
+    And the caller gets the answer
+
+  # Guards against a balancer that forgets the evacuations with a restart while
+  # the store is down, or that waits for the store then.
+  Scenario: A balancer learns the evacuations from a peer while the store is down
+    Given a store with a route to rounds, evacuations, 2 balancers and agents of rounds in abay and enbek
+    When the operator evacuates abay
+    Then balancer 1 has evacuated abay within 5 s
+    When the store answers all calls with 503
+    And balancer 3 starts with balancer 1 as its seed
+    Then balancer 3 is ready within 3 s
+    And balancer 3 has evacuated abay within 0 s
+    And 20 new flows through balancer 3 go to upstreams 2
+
+  # Guards against an evacuation that a peer told and that never ends.
+  Scenario: The list of the store replaces the evacuations that a peer told
+    Given a store with a route to rounds, evacuations, 2 balancers and agents of rounds in abay and enbek
+    When the operator evacuates abay
+    Then balancer 1 has evacuated abay within 5 s
+    When the store answers all calls with 503
+    And balancer 3 starts with balancer 1 as its seed
+    Then balancer 3 has evacuated abay within 3 s
+    When the operator ends the evacuation of abay
+    And the store answers all calls with 0
+    Then balancer 3 has evacuated nothing within 5 s
+
+  # Guards against new flows to evacuated upstreams through a balancer that is
+  # in rotation before it knows of them.
+  Scenario: A new balancer is not ready before it knows the evacuations
+    Given a store with a route to rounds, evacuations, 2 balancers and agents of rounds in abay and enbek
+    When the operator evacuates abay
+    Then balancer 1 has evacuated abay within 5 s
+    When the store rejects all calls about evacuations
+    And balancer 3 starts again
+    Then balancer 3 is not ready before it has evacuated abay
+
+  # Guards against a deployment that never serves because of an optional list.
+  Scenario: A new balancer serves after 3 s if nobody tells the evacuations
+    Given a store with a route to rounds, evacuations, 2 balancers and agents of rounds in abay and enbek
+    When balancers 1 and 2 are killed
+    And the store rejects all calls about evacuations
+    And balancer 3 starts again
+    Then balancer 3 is ready 3 to 5 s after its start
+
+  # Guards against a process that ends, or an evacuation that is ignored, because
+  # of malformed objects, and against names that forge log lines.
+  Scenario: Malformed evacuations are counted and break nothing
+    Given a store with a route to rounds, evacuations, 2 balancers and agents of rounds in abay and enbek
+    When the store gets malformed evacuations and one of abay
+    Then balancer 1 has evacuated abay within 5 s
+    And balancer 1 counts 2 pieces of bad input
+    And 20 new flows through balancer 1 go to upstreams 2
+
+  # Guards against billed calls in deployments that use no evacuations.
+  Scenario: Without the setting no call is made about evacuations
+    Given a store with a route to rounds, 2 balancers and 2 agents of rounds
+    When the operator evacuates abay
+    And 2 s pass on all hosts
+    Then the balancers have made no call about evacuations
+    And balancer 1 has evacuated nothing within 0 s
--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -79,19 +79,34 @@
     Then they are refused with an error that names <word>
 
     Examples:
-      | field         | value     | word          |
-      | node_name     | missing   | node_name     |
-      | port_range    | "7720"    | port_range    |
-      | platform      | {}        | address       |
-      | machine_class | "spare"   | machine_class |
-      | app           | "nowhere" | nowhere       |
-      | service       | missing   | service       |
+      | field         | value                   | word          |
+      | node_name     | missing                 | node_name     |
+      | port_range    | "7720"                  | port_range    |
+      | platform      | {}                      | address       |
+      | machine_class | "spare"                 | machine_class |
+      | app           | "nowhere"               | nowhere       |
+      | service       | missing                 | service       |
+      | bounds        | {"evacuate_ms": "soon"} | evacuate_ms   |
 
   # Guards against a failed start with the settings of a newer platform.
   Scenario: Unknown fields of the settings are ignored
     Given settings of a side machine in which colour is "blue"
     Then they are those of an agent of rounds
 
+  # Guards against calls to the store in deployments that use no evacuations,
+  # and against deployments that use them without effect.
+  Scenario Outline: Evacuations are enabled by their bound in the settings
+    Given settings of a side machine in which bounds is <value>
+    Then evacuations are <state>
+
+    Examples:
+      | value                               | state    |
+      | missing                             | disabled |
+      | {"grace_s": 6}                      | disabled |
+      | {"grace_s": 6, "evacuate_ms": null} | disabled |
+      | {"grace_s": 6, "evacuate_ms": 5000} | enabled  |
+      | {"evacuate_ms": 0.5}                | enabled  |
+
   # Guards against lists that end after the first page.
   Scenario: All pages of a list are read
     Given a store with 8 objects
--- a/features/steps/forward_path_steps.py
+++ b/features/steps/forward_path_steps.py
@@ -96,7 +96,9 @@
     return forwarding.HostSettings(
         role=role,
         host=f"{role}-{number}",
-        failure_domain="abay",
+        failure_domain=getattr(context, "domains", {}).get(
+            (role, number), "abay"
+        ),
         segments=(ip, port["segments"]),
         caller_port=port["segments"],
         readiness=(ip, port["readiness"]),
@@ -108,6 +110,7 @@
         heartbeat_s=1.2,
         grace_s=6.0,
         first_start=getattr(context, "first_start", True),
+        evacuations=getattr(context, "evacuations", False),
         service="rounds" if role == "agent" else "",
         upstream=(ip, port["app"]) if role == "agent" else ("", 0),
         outbound=(ip, port["outbound"]) if role == "agent" else ("", 0),
@@ -233,6 +236,16 @@
     wait_until(context, lambda: all(accepts(context, n) for n in (1, 2)))
 
 
+@given(
+    "a store with a route to rounds, evacuations, 2 balancers and agents of"
+    " rounds in abay and enbek"
+)
+def whole_path_with_evacuations(context):
+    context.evacuations = True
+    context.domains = {("agent", 2): "enbek"}
+    whole_path(context)
+
+
 def accepts(context, number):
     core = context.daemons["balancer", number].core
     now = context.loop.time()
@@ -508,6 +521,86 @@
     assert len(context.upstreams[2].openings) >= 20
 
 
+@when("the operator evacuates {domain:w}")
+def operator_evacuates(context, domain):
+    context.standin.put("evacuations", domain, {})
+
+
+@when("the operator ends the evacuation of {domain:w}")
+def operator_ends_evacuation(context, domain):
+    assert context.standin.delete("evacuations", domain)
+
+
+@then("balancer {number:d} has evacuated {domains} within {seconds:d} s")
+def has_evacuated(context, number, domains, seconds):
+    core = context.daemons["balancer", number].core
+    expected = [] if domains == "nothing" else domains.split(" and ")
+    wait_until(context, lambda: sorted(core.evacuated) == expected, seconds)
+
+
+@then("{count:d} new flows through balancer {number:d} go to upstreams {hosts}")
+def flows_go_to(context, count, number, hosts):
+    first = 6000 + 100 * len(context.caller)
+    for upstream in context.upstreams.values():
+        upstream.openings.clear()
+    context.caller.clear()
+    for source in range(first, first + count):
+        send(context, number, 100, 0, wire.FLAGS["SYN"], source=source)
+    wait_until(context, lambda: len(context.caller) >= count)
+    used = [str(n) for n, x in context.upstreams.items() if x.openings]
+    assert " and ".join(used) == hosts, used
+
+
+@when("the store rejects all calls about evacuations")
+def reject_evacuation_calls(context):
+    context.standin.rejected_kinds.add("evacuations")
+
+
+@when("balancers 1 and 2 are killed")
+def kill_balancers(context):
+    for number in (1, 2):
+        kill_daemon(context, "balancer", number)
+
+
+@when("balancer 3 starts again")
+def start_again(context):
+    context.first_start = False
+    start_daemon(context, "balancer", 3)
+
+
+@then("balancer 3 is not ready before it has evacuated {domain:w}")
+def not_ready_before(context, domain):
+    core = context.daemons["balancer", 3].core
+    wait_until(context, lambda: ready(context, 3))
+    assert domain in core.evacuated
+
+
+@then("balancer 3 is ready {least:d} to {most:d} s after its start")
+def ready_after(context, least, most):
+    elapsed = wait_until(context, lambda: ready(context, 3), most)
+    assert elapsed >= least, elapsed
+
+
+@when("the store gets malformed evacuations and one of abay")
+def malformed_evacuations(context):
+    for name, spec in (("", {}), ("a\nevent=x", {}), ("abay", [5])):
+        context.standin.put("evacuations", name, spec)
+
+
+@then("balancer {number:d} counts {count:d} pieces of bad input")
+def counts_bad_input(context, number, count):
+    address = (f"127.0.1.{number}", context.ports["metrics"])
+    text = http_call(context, "GET", address, "/metrics").body.decode()
+    expected = f'crocusmux_events_total{{what="bad-input"}} {count}.0'
+    assert expected in text.splitlines(), text
+
+
+@then("the balancers have made no call about evacuations")
+def no_evacuation_calls(context):
+    uris = [uri for _, uri in context.standin.calls]
+    assert uris and not [x for x in uris if "evacuations" in x], uris
+
+
 @when("balancer 1 begins to stop")
 def begin_stop(context):
     daemon = context.daemons["balancer", 1]
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -291,6 +291,12 @@
     assert cfg.upstream == ("10.1.0.13", 8165)
 
 
+@then("evacuations are {state}")
+def check_evacuations(context, state):
+    cfg = host_settings.decode(context.settings)
+    assert cfg.evacuations == (state == "enabled")
+
+
 @given("a store with {count:d} objects")
 def store_with(context, count):
     context.loop = event_loop.PausedLoop()
