--- a/crocusmux/flow_trace.py
+++ b/crocusmux/flow_trace.py
@@ -22,6 +22,8 @@
         "agent-removed",
         "agent-state",
         "configure",
+        "evacuate",
+        "evacuation-ended",
         "history-gone",
         "left-out",
         "start",
--- a/features/forward_balancer.feature
+++ b/features/forward_balancer.feature
@@ -547,9 +547,9 @@
     Then <outcome>
 
     Examples:
-      | domain | outcome                                                   |
-      | enbek  | no agent is offered the flow and the caller gets no reset |
-      | abay   | agent h17 was offered the flow                            |
+      | domain | outcome                        |
+      | enbek  | no agent was offered the flow  |
+      | abay   | agent h17 was offered the flow |
 
   # Guards against an opening that reaches an upstream after its domain was
   # evacuated: a retransmission before or after the time-out of an offer.
@@ -729,3 +729,14 @@
     When 3 s pass with reports of all agents
     And a caller opens a flow to rounds
     Then one agent in abay alone is offered the flow
+
+  # Guards against flows that leave the balancer's domain: those that open flows
+  # leave behind in an evacuated domain lowered the mean of flows per capacity,
+  # and every other upstream seemed to have more than its share.
+  Scenario: Upstreams of evacuated domains do not count in the mean of flows
+    Given a balancer in abay with the agents a, b there and c, d in enbek
+    And the agents e, f of rounds in karatau
+    When enbek is evacuated
+    And the agents c, d report 0 open flows and the others 100
+    And 200 callers open flows to rounds, two between reports
+    Then agents c, d, e, f are offered none of them
--- a/features/steps/evacuation_steps.py
+++ b/features/steps/evacuation_steps.py
@@ -34,6 +34,22 @@
     balancer_sample.report_all(context, "abcd")
 
 
+@given("the agents e, f of rounds in karatau")
+def third_domain(context):
+    for number, host in enumerate("ef", 5):
+        record = balancer_sample.record(
+            host, "rounds", f"10.0.1.{number}", "karatau"
+        )
+        context.core.add_agent(context.now, record)
+    balancer_sample.report_all(context, "ef")
+
+
+@when("the agents c, d report 0 open flows and the others 100")
+def uneven_flows(context):
+    balancer_sample.report_all(context, "cd", flows=0)
+    balancer_sample.report_all(context, "abef", flows=100)
+
+
 @given("the balancer waits {seconds:g} s for the list of evacuations")
 def expect_list(context, seconds):
     context.core.evacuated.expect_list(context.now + seconds)
@@ -95,6 +111,11 @@
     assert not {"a", "b"} & set(balancer_sample.offered_hosts(context))
 
 
+@then("no agent was offered the flow")
+def none_was_offered(context):
+    assert not context.offered + balancer_sample.offered_hosts(context)
+
+
 @then("one agent in {domain:w} alone is offered the flow")
 def one_in_domain(context, domain):
     (host,) = balancer_sample.offered_hosts(context)
--- a/features/steps/trace_steps.py
+++ b/features/steps/trace_steps.py
@@ -13,6 +13,7 @@
 LOGS = {
     "edge-1": [
         f"10:00:05,100 event=place flow={FLOW} agent=side-1 load=0.5",
+        "10:00:05,200 event=evacuate domain=abay",
         "10:00:05,260 event=agent-state agent=side-1 accepting=False",
         "10:00:05,270 event=agent-state agent=side-7 accepting=True",
         f"10:00:05,280 event=declined flow={FLOW} agent=side-1 reason=x",
--- a/features/trace.feature
+++ b/features/trace.feature
@@ -7,6 +7,7 @@
     Then she sees these lines in order:
       | host   | event           |
       | edge-1 | place           |
+      | edge-1 | evacuate        |
       | side-1 | upstream-silent |
       | edge-1 | agent-state     |
       | edge-1 | declined        |
