Serve no state to peers before the evacuations are known

A starting balancer took the state of a peer that had not learned of the evacuations for one without any, and got ready too early. A balancer now answers /state with 503 until it knows them or has given up waiting, 3 s. Tests for this, for queued flows that were offered before an evacuation and for openings that a lookup has queued are added.

--- a/crocusmux/core/forward/holder_resolver.py
+++ b/crocusmux/core/forward/holder_resolver.py
@@ -287,8 +287,7 @@
         self, seg: segments.Segment, upstream: upstreams.Upstream
     ) -> bool:
         """Returns True for an opening to an upstream that is evacuated."""
-        domain = upstream.record.failure_domain
-        return seg.opening and domain in self._evacuated
+        return seg.opening and upstream.record.failure_domain in self._evacuated
 
     def _possible_holders(
         self, lookup: holder_lookup.HolderLookup
--- a/crocusmux/daemons/forward_balancer.py
+++ b/crocusmux/daemons/forward_balancer.py
@@ -306,7 +306,7 @@
         """
         if not self._cfg.evacuations or self._evacuation_follower.listed:
             return
-        # A peer without a configuration has not been told of them either.
+        # A peer without a configuration may not have asked the store yet.
         if state.config.version:
             names = self._check_domains(state.evacuated)
             self._execute(
@@ -332,11 +332,14 @@
             process.start_task(self._tasks, self._fetch_state(source))
 
     def _on_request(self, req: httputil.HTTPServerRequest) -> tuple[int, bytes]:
+        known = self.core.evacuated.known(self._loop.time())
         if req.path == self._adapter.ready_path:
-            known = self.core.evacuated.known(self._loop.time())
             ready = self.core.ready() and known and not self._stopping
             return (OK if ready else UNAVAILABLE), b""
         if req.path == STATE_PATH:
+            if not known:
+                # A peer would take it that no domain is evacuated.
+                return UNAVAILABLE, b""
             return OK, msgspec.msgpack.encode(self._state())
         if req.path == METRICS_PATH:
             return OK, self._messenger.metrics.render()
--- a/features/forward_balancer.feature
+++ b/features/forward_balancer.feature
@@ -603,6 +603,17 @@
       | abay is            |
       | abay and enbek are |
 
+  # Guards against the same for a flow that is queued when the last domain in
+  # use is evacuated.
+  Scenario: A queued flow that was offered before is not refused
+    Given a balancer in abay with the agents a, b there and c, d in enbek
+    When a caller opens a flow to rounds
+    And the agents c, d report that they take no flows
+    And abay is evacuated
+    And the caller retransmits its opening after 0.2 s
+    And enbek is evacuated
+    Then the caller gets no reset
+
   # Guards against an opening that returns to an evacuated upstream after a
   # decline, as the last agent that was offered it or in the next turn.
   Scenario: A declined opening goes to no evacuated upstream
@@ -714,6 +725,30 @@
     When the caller opens another flow from the same port
     Then one agent in enbek alone is offered the flow
 
+  # Guards against a late duplicate that counts as a new flow and replaces the
+  # open one, as the port was used again before the evacuation.
+  Scenario: A duplicate of the newest opening from a port changes nothing
+    Given a balancer in abay with the agents a, b there and c, d in enbek
+    When a caller opens a flow to rounds
+    And the caller sends 1 segments
+    And the agent that was offered the flow claims it
+    And the caller opens another flow from the same port
+    And abay is evacuated
+    And the caller opens another flow from the same port
+    Then no segment is sent
+    When the caller sends 1 segments
+    Then the segment goes to the agent that was offered the flow first
+
+  # Guards against an opening that was queued in a lookup and then reaches the
+  # evacuated holder.
+  Scenario: An opening that a lookup has queued goes to no evacuated upstream
+    Given a balancer in abay with the agents a, b there and c, d in enbek
+    When a segment of an unknown flow to rounds arrives
+    And the caller's opening arrives once more
+    And abay is evacuated
+    And agent b replies that it holds the flow
+    Then agent b gets 1 segments of it
+
   # Guards against a new balancer that sends flows to evacuated upstreams until
   # it has learned of the evacuation, or that never serves without the list.
   Scenario: A new balancer places no flow until it knows the evacuations
--- a/features/forward_path.feature
+++ b/features/forward_path.feature
@@ -219,11 +219,13 @@
     And balancer 3 starts again
     Then balancer 3 is not ready before it has evacuated abay
 
-  # Guards against a deployment that never serves because of an optional list.
+  # Guards against a deployment that never serves because of an optional list,
+  # and against a peer that takes part without knowing it either.
   Scenario: A new balancer serves after 3 s if nobody tells the evacuations
     Given a store with a route to rounds, evacuations, 2 balancers and agents of rounds in abay and enbek
     When balancers 1 and 2 are killed
     And the store rejects all calls about evacuations
+    And balancer 1 starts again
     And balancer 3 starts again
     Then balancer 3 is ready 3 to 5 s after its start
 
--- a/features/steps/forward_path_steps.py
+++ b/features/steps/forward_path_steps.py
@@ -562,10 +562,10 @@
         kill_daemon(context, "balancer", number)
 
 
-@when("balancer 3 starts again")
-def start_again(context):
+@when("balancer {number:d} starts again")
+def start_again(context, number):
     context.first_start = False
-    start_daemon(context, "balancer", 3)
+    start_daemon(context, "balancer", number)
 
 
 @then("balancer 3 is not ready before it has evacuated {domain:w}")
