Free the reserved slot of a flow that an agent denies

An agent counts an accepted flow as a request about to arrive for 100 ms. When it denied the flow, as the caller had acknowledged another upstream's SYN+ACK, or declined it after a reset by its upstream, the count stayed until that time had passed, and new flows could be declined although slots were free.

Both paths now end the expectation. The new scenario outline of forward_agent.feature fails in both examples without the change (44 passed, 2 failed) and passes with it (46 passed).

--- a/crocusmux/core/forward/agent.py
+++ b/crocusmux/core/forward/agent.py
@@ -87,6 +87,8 @@
         flow.balancer = balancer
         if not flow.open and not flow.probing:
             if not self._acknowledges_syn_ack(seg.ack, flow):
+                # The caller goes on with another upstream.
+                self.load.end_expectation(seg.key)
                 return [self._make_denial(seg.key, balancer)]
             flow.open = True
         flow.caller_ack = seg.ack
@@ -266,6 +268,7 @@
     ) -> Outputs:
         """Declines an opening, or denies a flow that seemed open."""
         self._flows.pop(key, None)
+        self.load.end_expectation(key)
         self._end_request(now, flow, answered=False)
         if not flow.open and not flow.probing:
             reason = reports.DECLINED_BY_UPSTREAM
--- a/features/forward_agent.feature
+++ b/features/forward_agent.feature
@@ -80,6 +80,23 @@
     And the upstream returns the opening
     Then the opening is declined as "upstream-full"
 
+  # Guards against declines by an upstream with free slots: an agent kept the slot
+  # of a flow that its caller had continued with another upstream, or that its
+  # upstream had reset, for 100 ms.
+  Scenario Outline: A flow that is denied or declined reserves no slot
+    Given an agent of rounds whose upstream is ready
+    When a balancer sends an opening
+    And the upstream answers the opening with sequence 5000
+    Then the agent reserves 1 slots for requests about to arrive
+    When <end>
+    Then <outcome>
+    And the agent reserves 0 slots for requests about to arrive
+
+    Examples:
+      | end                            | outcome                                    |
+      | the caller acknowledges 900000 | the balancer gets a denial of the flow     |
+      | the upstream resets that flow  | the opening is declined as "upstream-full" |
+
   # Guards against new flows at an upstream that crashed.
   Scenario: An upstream that leaves an opening unanswered is silent
     Given an agent of rounds whose upstream is ready
--- a/features/steps/forward_agent_steps.py
+++ b/features/steps/forward_agent_steps.py
@@ -279,6 +279,12 @@
     assert not outputs_of(context, outputs.ToUpstream)
 
 
+@then("the agent reserves {count:d} slots for requests about to arrive")
+def reserved_slots(context, count):
+    assert context.core.load.in_progress == 0
+    assert context.core.load.committed(context.now) == count
+
+
 @then("the balancer gets a denial of the flow")
 def gets_denial(context):
     assert [m.key for m in messages(context, reports.FlowDenied)] == [
