Hedge openings that their upstream leaves unanswered

An opening that is lost, or whose upstream does not answer, delayed its caller by 200 ms, until the caller retransmitted its SYN. With CROCUSMUX_HEDGE_SHARE in its environment, a balancer offers such an opening of a repeatable route to a second upstream after 30 ms or 4 times the moving mean of the time to the caller's next packet. A token bucket limits hedges to the share of all openings plus 10. The daemon schedules the next due hedge with one timer, and sets none while hedging is off.

The free slots of an upstream are estimated by its reported mean and the offers of the last service time. With all offers since the report, 3 of 7 flows to a dead host got no hedge at 20 openings/s for each upstream of 2 slots.

The histogram opening_acknowledged is measured with hedging off as well, so the first output for a caller's first packet is now a sample of it; the step that expected 20 segments checks it.

--- a/crocusmux/core/forward/balancer.py
+++ b/crocusmux/core/forward/balancer.py
@@ -7,6 +7,7 @@
 from crocusmux.core.forward import agent_table
 from crocusmux.core.forward import chooser
 from crocusmux.core.forward import flow_table
+from crocusmux.core.forward import hedging
 from crocusmux.core.forward import holder_resolver
 from crocusmux.core.forward import openings
 from crocusmux.core.forward import outputs
@@ -69,6 +70,7 @@
         address: tuple[str, int],
         config_source: str,
         rng: random.Random,
+        hedge_share: float = 0.0,
     ) -> None:
         """Creates a balancer without routes and agents.
 
@@ -78,6 +80,8 @@
             address: Address to which agents send messages.
             config_source: Address that serves the balancer's configuration.
             rng: Source of random numbers.
+            hedge_share: Limit of hedged openings as a share of all openings;
+                0 disables hedging.
         """
         self.routes = routes.RouteTable()
         self.agent_table = agent_table.AgentTable(failure_domain)
@@ -88,6 +92,7 @@
         self._config_source = config_source
         self._rng = rng
         self._openings = openings.OpeningQueue()
+        self._hedging = hedging.Hedging(hedge_share)
         self._chooser = chooser.UpstreamChooser(
             self.agent_table, failure_domain, rng
         )
@@ -150,15 +155,29 @@
             return self._on_opening(now, seg, flow)
         if flow is None:
             return self._on_unknown_flow(now, seg)
+        sent: Outputs = []
         if not flow.open:
             self._openings.remove(seg.key)
+            sent = self._record_acknowledged(now, seg, flow)
         if not seg.opening:
             flow.record_segment(seg)
         if flow.holder:
-            return self._resolver.deliver(now, seg, flow)
+            return sent + self._resolver.deliver(now, seg, flow)
         if flow.offered_hosts and flow.lookup is None:
-            return self._deliver_to_offered(now, seg, flow)
-        return self._resolver.resolve(now, seg, flow)
+            return sent + self._deliver_to_offered(now, seg, flow)
+        return sent + self._resolver.resolve(now, seg, flow)
+
+    def _record_acknowledged(
+        self, now: float, seg: segments.Segment, flow: flow_table.Flow
+    ) -> Outputs:
+        """Records a caller's first packet after its opening."""
+        self._hedging.cancel(seg.key)
+        # A reset gives the opening up and acknowledges no upstream.
+        if not flow.offered_hosts or seg.reset:
+            return []
+        elapsed_s = now - flow.first_offered_at
+        self._hedging.record_acknowledged(elapsed_s)
+        return [outputs.Timing(outputs.ACKNOWLEDGED, elapsed_s)]
 
     def _on_opening(
         self, now: float, seg: segments.Segment, flow: flow_table.Flow | None
@@ -178,6 +197,7 @@
         route = self.routes.find_route(seg.key)
         if route is None:
             return self._refuse(seg.key, "no-route")
+        self._hedging.bucket.add_opening()
         flow = self.flows.add(now, seg.key)
         flow.service = route.pick_service(self._rng.random())
         flow.opening_segment = seg
@@ -187,7 +207,9 @@
         self, now: float, seg: segments.Segment, flow: flow_table.Flow
     ) -> Outputs:
         """Offers a retransmitted opening to another upstream."""
-        for host in flow.offered_hosts[-1:]:
+        # A hedge was offered later than the opening, so its time is not over.
+        offered = [x for x in flow.offered_hosts if x != flow.hedge_host]
+        for host in offered[-1:]:
             upstream = self.agent_table.get(host)
             if upstream is not None:
                 upstream.avoided = True
@@ -204,15 +226,85 @@
         if chosen is None:
             return self._on_no_upstream(now, seg, flow)
         self._openings.remove(seg.key)
+        if not flow.offered_hosts:
+            flow.first_offered_at = now
         flow.offered_hosts.append(chosen.record.host)
         flow.offered_at = now
         chosen.unreported_offers += 1
+        self._register_offer(now, seg.key, flow)
         return [
             holder_resolver.to_agent(seg, chosen),
             self._place_event(now, seg.key, chosen, flow),
             outputs.Timing(outputs.PLACED, now - flow.opened_at),
         ]
 
+    def _register_offer(
+        self, now: float, key: bytes, flow: flow_table.Flow
+    ) -> None:
+        """Registers an offer that may be hedged, or cancels an earlier one."""
+        if not self._hedging.enabled:
+            return
+        if self._may_hedge(key, flow):
+            self._hedging.add(now, key)
+        else:
+            self._hedging.cancel(key)
+
+    def _may_hedge(self, key: bytes, flow: flow_table.Flow) -> bool:
+        """Returns True if one upstream has the opening and one more may."""
+        route = self.routes.find_route(key)
+        return (
+            route is not None
+            and route.repeatable
+            and not flow.hedge_host
+            and len(flow.offered_hosts) == 1
+            and 1 + len(flow.busy_hosts) < MAX_OFFERS
+        )
+
+    def next_hedge_at(self) -> float:
+        """Returns when ``send_due_hedges`` has work, seconds.
+
+        Infinity if no offer waits for its caller's next packet, or if hedging
+        is disabled.
+        """
+        return self._hedging.next_due_at()
+
+    def send_due_hedges(self, now: float) -> Outputs:
+        """Offers openings that are unanswered for too long once more."""
+        sent: Outputs = []
+        for key, offered_at in self._hedging.pop_due(now):
+            flow = self.flows.get(key)
+            if flow is not None:
+                sent += self._hedge(now, key, flow, offered_at)
+        return sent
+
+    def _hedge(
+        self, now: float, key: bytes, flow: flow_table.Flow, offered_at: float
+    ) -> Outputs:
+        """Offers an opening to a second upstream that has a free slot."""
+        seg = flow.opening_segment
+        if seg is None or flow.open or not self._may_hedge(key, flow):
+            return []
+        # Queued openings need the free slots more than a flow that has one.
+        if len(self._openings):
+            return []
+        tried = {*flow.offered_hosts, *flow.busy_hosts, *flow.declined_hosts}
+        chosen = self._chooser.choose(
+            now, key, flow.service, tried, with_free_slot=True
+        )
+        if chosen is None:
+            return []
+        after_ms = f"after_ms={(now - offered_at) * 1000:.0f}"
+        if not self._hedging.bucket.take():
+            return [outputs.Event("hedge-limited", key, after_ms)]
+        host = chosen.record.host
+        flow.hedge_host = host
+        flow.offered_hosts.append(host)
+        chosen.unreported_offers += 1
+        return [
+            holder_resolver.to_agent(seg, chosen),
+            outputs.Event("hedge", key, f"agent={host} {after_ms}"),
+        ]
+
     def _on_no_upstream(
         self, now: float, seg: segments.Segment, flow: flow_table.Flow
     ) -> Outputs:
@@ -237,6 +329,7 @@
         self, key: bytes, flow: flow_table.Flow, reason: str
     ) -> Outputs:
         self._openings.remove(key)
+        self._hedging.cancel(key)
         self.flows.remove(key)
         return self._refuse(key, reason, flow)
 
@@ -326,6 +419,11 @@
         else:
             flow.declined_hosts.add(message.host)
         sent: Outputs = [outputs.Event("declined", message.key, detail)]
+        if flow.hedge_host and flow.offered_hosts:
+            # The other upstream still has the opening.  One more offer would
+            # be a hedge beyond the limit.
+            return sent
+        self._hedging.cancel(message.key)
         if flow.opening_segment is None:
             return sent
         return sent + self._place(now, flow.opening_segment, flow)
@@ -361,6 +459,7 @@
                 pending.key, pending.flow, "no-upstream-in-time"
             )
         sent += self._place_pending(now)
+        sent += self.send_due_hedges(now)
         return sent
 
     def _subscribe_interval_s(self) -> float:
--- a/crocusmux/core/forward/chooser.py
+++ b/crocusmux/core/forward/chooser.py
@@ -49,7 +49,12 @@
         self._flow_densities: dict[str, tuple[float, float]] = {}
 
     def choose(
-        self, now: float, key: bytes, service: str, tried: set[str]
+        self,
+        now: float,
+        key: bytes,
+        service: str,
+        tried: set[str],
+        with_free_slot: bool = False,
     ) -> upstreams.Upstream | None:
         """Returns the upstream to which a new flow is offered.
 
@@ -58,13 +63,21 @@
             key: Flow key.
             service: Service of the flow.
             tried: Hosts whose upstreams are not chosen.
+            with_free_slot: True to choose only among preferred upstreams that
+                report a free slot.
 
         Returns:
             The upstream; None if no upstream is known to accept the flow.
         """
 
         def usable(upstream: upstreams.Upstream) -> bool:
-            return upstream.record.host not in tried and upstream.accepts(now)
+            return (
+                upstream.record.host not in tried
+                and upstream.accepts(now)
+                and (
+                    not with_free_slot or selection.has_free_slot(now, upstream)
+                )
+            )
 
         agents = self._agent_table.for_services((service,))
         local = agents.preferred_local(key, usable, MAX_CANDIDATES)
@@ -80,6 +93,9 @@
         chosen = selection.choose(recent, find_remote, domain, rng, density)
         if chosen is not None or now < self._next_scans.get(service, 0.0):
             return chosen
+        if with_free_slot:
+            # A scan would delay the next one for flows without an upstream.
+            return None
         # Few of many agents accept flows, so none of the preferred ones does.
         self._next_scans[service] = now + SCAN_INTERVAL_S
         accepting = [upstream for upstream in agents if usable(upstream)]
--- a/crocusmux/core/forward/flow_table.py
+++ b/crocusmux/core/forward/flow_table.py
@@ -24,7 +24,10 @@
         lookup: Lookup of the holder; None without one.
         ack: The caller's last acknowledgement.
         opened_at: Time of the first segment at this balancer, seconds.
-        offered_at: Time of the last offer, seconds.
+        offered_at: Time of the last offer other than a hedge, seconds.
+        first_offered_at: Time of the first of the offers since all earlier
+            ones were declined, seconds.
+        hedge_host: Host that got the opening as a hedge; empty without one.
         last_segment_at: Time of the last segment, seconds.
         data_sent: True if the caller's last segment carried data.
         open: True once the caller has sent more than openings.
@@ -35,6 +38,8 @@
         "busy_hosts",
         "data_sent",
         "declined_hosts",
+        "first_offered_at",
+        "hedge_host",
         "holder",
         "holder_confirmed",
         "last_segment",
@@ -63,6 +68,8 @@
         self.ack = 0
         self.opened_at = now
         self.offered_at = now
+        self.first_offered_at = now
+        self.hedge_host = ""
         self.last_segment_at = now
         self.data_sent = False
         self.open = False
--- a/crocusmux/core/forward/outputs.py
+++ b/crocusmux/core/forward/outputs.py
@@ -76,9 +76,11 @@
 # Measured durations by name, with the help texts of their histograms.
 PLACED = "opening_placed"
 ANSWERED = "request_answered"
+ACKNOWLEDGED = "opening_acknowledged"
 TIMINGS = {
     PLACED: "Time from a caller's first opening to its offer to an upstream.",
     ANSWERED: "Time from a request to the first data of its answer.",
+    ACKNOWLEDGED: "Time from the first offer to the caller's next packet.",
 }
 
 
--- a/crocusmux/core/forward/selection.py
+++ b/crocusmux/core/forward/selection.py
@@ -15,6 +15,8 @@
 # An upstream with more than this many times its share of the open flows is not
 # preferred: flows last for many requests, so their load comes later.
 MAX_EXCESS = 1.1
+# Part of a slot that must be free by the reported mean for a free slot.
+MIN_FREE_SLOT = 0.5
 # Utilisation above which the wait is assumed to grow linearly.
 MAX_UTILISATION = 0.95
 # Sampled candidates.  A larger sample sends all balancers to the same upstream
@@ -83,6 +85,23 @@
     return wait_ms <= SHORT_WAIT_SHARE * service_ms
 
 
+def has_free_slot(now: float, upstream: upstreams.Upstream) -> bool:
+    """Returns True if an upstream probably has a free slot.
+
+    The reported load is a moving mean, so half a slot is the limit.  Of the
+    offers since the report, those of the last service time count: between two
+    reports, 0.25 s apart, an upstream serves several requests in each slot.
+    """
+    report = upstream.report
+    if report is None:
+        return False
+    age_s = upstream.report_age_s(now)
+    service_s = service_time_ms(upstream) / 1000
+    unfinished_share = service_s / max(service_s, age_s)
+    load = report.in_progress + unfinished_share * upstream.unreported_offers
+    return load + MIN_FREE_SLOT <= report.slots
+
+
 def sample_by_capacity(
     usable: Sequence[upstreams.Upstream], rng: random.Random
 ) -> list[upstreams.Upstream]:
--- a/crocusmux/daemons/forward_balancer.py
+++ b/crocusmux/daemons/forward_balancer.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import itertools
 import logging
+import math
 import random
 
 import msgspec
@@ -64,13 +65,19 @@
         self._rng = rng
         source = f"{cfg.control[0]}:{cfg.control[1]}"
         self.core = balancer.ForwardingBalancer(
-            cfg.host, cfg.failure_domain, cfg.messages, source, rng
+            cfg.host,
+            cfg.failure_domain,
+            cfg.messages,
+            source,
+            rng,
+            hedge_share=cfg.hedge_share,
         )
         self._own_source = source
         self._stopping = False
         self._stale_since: float | None = None
         self._knows_former_services = cfg.first_start
         self._list_task: asyncio.Task | None = None
+        self._hedge_timer: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task] = set()
         self._fetch_http = http.make_fetch()
         self._messenger = forward.Messenger(
@@ -115,18 +122,37 @@
         await asyncio.sleep(min(DRAIN_S, self._cfg.grace_s / 2))
         for task in list(self._tasks):
             task.cancel()
+        if self._hedge_timer is not None:
+            self._hedge_timer.cancel()
 
     def _on_segment(
         self, seg: segments.Segment, sender: forwarding.Address
     ) -> None:
         del sender
         self._execute(self.core.on_segment(self._loop.time(), seg))
+        self._schedule_hedges()
 
     def _on_message(
         self, message: reports.Message, sender: forwarding.Address
     ) -> None:
         del sender
         self._execute(self.core.on_message(self._loop.time(), message))
+        self._schedule_hedges()
+
+    def _schedule_hedges(self) -> None:
+        """Schedules the next due hedge, as the tick may be 50 ms late.
+
+        There is one timer at a time.  It is not moved when an offer is
+        acknowledged, so it runs at most once in each hedge delay or so.
+        """
+        due_at = self.core.next_hedge_at()
+        if self._hedge_timer is None and due_at < math.inf:
+            self._hedge_timer = self._loop.call_at(due_at, self._send_hedges)
+
+    def _send_hedges(self) -> None:
+        self._hedge_timer = None
+        self._execute(self.core.send_due_hedges(self._loop.time()))
+        self._schedule_hedges()
 
     def _execute(self, actions: list[outputs.Output]) -> None:
         for output in actions:
@@ -263,6 +289,7 @@
         while True:
             now = self._loop.time()
             self._execute(self.core.on_timer(now))
+            self._schedule_hedges()
             self._check_staleness(now)
             await asyncio.sleep(balancer.TIMER_INTERVAL_S)
 
--- a/crocusmux/forwarding.py
+++ b/crocusmux/forwarding.py
@@ -36,6 +36,8 @@
         service: Service of the upstream beside an agent.
         upstream: Address of that upstream for segments.
         outbound: Address of the agent to which that upstream sends segments.
+        hedge_share: Limit of a balancer's hedged openings as a share of all
+            openings, 0 to 1; 0 disables hedging.
     """
 
     role: Literal["balancer", "agent"]
@@ -55,6 +57,7 @@
     service: str = ""
     upstream: Address = ("", 0)
     outbound: Address = ("", 0)
+    hedge_share: float = 0.0
 
 
 class StoredObject(msgspec.Struct, frozen=True):
--- a/crocusmux/platform/__main__.py
+++ b/crocusmux/platform/__main__.py
@@ -7,6 +7,8 @@
 import os
 import sys
 
+import msgspec
+
 from crocusmux import errors
 from crocusmux import forwarding
 from crocusmux.platform import configuration
@@ -34,6 +36,29 @@
     )
 
 
+def load_settings(role: str, path: str) -> forwarding.HostSettings:
+    """Reads the settings file and the environment of a daemon.
+
+    Args:
+        role: Which daemon runs; the settings file must be for it.
+        path: Path of the settings file.
+
+    Raises:
+        errors.SettingsError: The file or an environment variable is invalid.
+    """
+    cfg = host_settings.load(path)
+    if cfg.role != role:
+        raise errors.SettingsError(
+            f"settings are for {cfg.role}, not {role}",
+            step="check settings",
+            peer=path,
+        )
+    if role == "balancer":
+        share = host_settings.hedge_share(os.environ)
+        cfg = msgspec.structs.replace(cfg, hedge_share=share)
+    return cfg
+
+
 def main() -> int:
     """Runs the daemon of the role in the arguments; returns the exit status."""
     role = sys.argv[1] if len(sys.argv) == 2 else ""
@@ -43,18 +68,12 @@
             raise errors.UserError(
                 f"give one of {', '.join(ROLES)}", step="read arguments"
             )
-        cfg = host_settings.load(path)
-        if cfg.role != role:
-            raise errors.SettingsError(
-                f"settings are for {cfg.role}, not {role}",
-                step="check settings",
-                peer=path,
-            )
+        cfg = load_settings(role, path)
     except errors.UserError as exc:
         sys.stderr.write(f"crocusmux: {exc}\n")
         return 1
     daemon = importlib.import_module(f"crocusmux.daemons.forward_{role}")
-    return daemon.run(cfg, make_adapter, lambda: host_settings.load(path))
+    return daemon.run(cfg, make_adapter, lambda: load_settings(role, path))
 
 
 if __name__ == "__main__":
--- a/crocusmux/platform/host_settings.py
+++ b/crocusmux/platform/host_settings.py
@@ -1,5 +1,7 @@
 """Decodes the platform's settings file to the settings of a daemon."""
 
+from collections.abc import Mapping
+import math
 import pathlib
 from typing import Literal
 
@@ -10,6 +12,8 @@
 from crocusmux import forwarding
 
 SETTINGS_VARIABLE = "CROCUSMUX_BOOT"
+# Limit of a balancer's hedged openings as a share of all its openings.
+HEDGE_SHARE_VARIABLE = "CROCUSMUX_HEDGE_SHARE"
 # Port of the metrics on each host, as in deploy/system.toml; the default of
 # OpenTelemetry's Prometheus exporters.
 METRICS_PORT = 9464
@@ -69,6 +73,34 @@
         ) from exc
 
 
+def hedge_share(environment: Mapping[str, str]) -> float:
+    """Returns the limit of hedged openings as a share of all openings.
+
+    Args:
+        environment: Environment variables of the balancer.
+
+    Returns:
+        A number from 0 to 1; 0 if the variable is absent.
+
+    Raises:
+        errors.SettingsError: The variable is not such a number.
+    """
+    text = environment.get(HEDGE_SHARE_VARIABLE, "0")
+    try:
+        # Python's literals, which ``float`` accepts, may contain underscores.
+        share = math.nan if "_" in text else float(text)
+    except ValueError:
+        share = math.nan
+    # A comparison with NaN is false.
+    if not 0 <= share <= 1:
+        raise errors.SettingsError(
+            f"must be a number from 0 to 1, not {text!r}",
+            step="check settings",
+            peer=HEDGE_SHARE_VARIABLE,
+        )
+    return share
+
+
 def decode(data: bytes) -> forwarding.HostSettings:
     """Decodes the contents of a settings file.
 
--- a/features/balancer_sample.py
+++ b/features/balancer_sample.py
@@ -27,9 +27,11 @@
     return upstreams.AgentRecord(host, service, domain, (ip, 8172), control)
 
 
-def configuration(version, with_routes=True, service="rounds"):
+def configuration(
+    version, with_routes=True, service="rounds", repeatable=False
+):
     route = routes.Route(
-        "bookings", ROUNDS, ((service, 1),), 2.0, 0.2, 1, False
+        "bookings", ROUNDS, ((service, 1),), 2.0, 0.2, 1, repeatable
     )
     return routes.Configuration(version, (route,) if with_routes else ())
 
@@ -96,13 +98,18 @@
     return [host_at(context, o.to) for o in offers(context.outs)]
 
 
-def start(context, domain="abay", cfg=None):
+def start(context, domain="abay", cfg=None, hedge_share=0.0):
     context.now = 100.0
     context.sequence = 1
     context.outs = []
     context.store_answers = True
     context.core = balancer.ForwardingBalancer(
-        "edge-1", domain, BALANCER_ADDRESS, "10.0.0.9:8166", random.Random(1)
+        "edge-1",
+        domain,
+        BALANCER_ADDRESS,
+        "10.0.0.9:8166",
+        random.Random(1),
+        hedge_share=hedge_share,
     )
     context.core.configure(cfg or configuration(5))
 
@@ -118,9 +125,9 @@
     return outs
 
 
-def start_with_agents(context, cfg=None):
+def start_with_agents(context, cfg=None, hedge_share=0.0):
     """Starts with the agents a, b, c of rounds and d of wheelbook."""
-    start(context, cfg=cfg)
+    start(context, cfg=cfg, hedge_share=hedge_share)
     for number, host in enumerate("abcd", 1):
         service = "wheelbook" if host == "d" else "rounds"
         context.core.add_agent(
--- a/features/steps/forward_path_steps.py
+++ b/features/steps/forward_path_steps.py
@@ -34,6 +34,7 @@
         self.openings = []
         self.requests = []
         self.returned = 0
+        self.mute = False
         self.outbound = (ip, ports["outbound"])
         self.held_flows = set()
         self.socket = udp.UdpSocket((ip, ports["app"]), self.on_datagram)
@@ -43,7 +44,8 @@
         seg = packets.decode_from_caller(data)
         if seg.opening:
             self.openings.append(seg)
-            self.send(seg, wire.FLAGS["SYN"] | wire.FLAGS["ACK"], BASE_SEQ, b"")
+            if not self.mute:
+                self.answer_last()
         elif seg.acknowledges and seg.ack == BASE_SEQ + self.number:
             self.held_flows.add(seg.key)
             if seg.length:
@@ -55,6 +57,11 @@
             back = data[:30] + bytes([flags, 0]) + data[32:]
             self.socket.send(back, self.outbound)
 
+    def answer_last(self):
+        """Answers the last opening."""
+        flags = wire.FLAGS["SYN"] | wire.FLAGS["ACK"]
+        self.send(self.openings[-1], flags, BASE_SEQ, b"")
+
     def send(self, seg, flags, seq, data):
         caller, _, route = segments.format_flow_key(seg.key).partition(">")
         if flags & wire.FLAGS["SYN"]:
@@ -108,6 +115,7 @@
         heartbeat_s=1.2,
         grace_s=6.0,
         first_start=getattr(context, "first_start", True),
+        hedge_share=getattr(context, "hedge_share", 0.0),
         service="rounds" if role == "agent" else "",
         upstream=(ip, port["app"]) if role == "agent" else ("", 0),
         outbound=(ip, port["outbound"]) if role == "agent" else ("", 0),
--- a/features/steps/holder_lookup_steps.py
+++ b/features/steps/holder_lookup_steps.py
@@ -214,7 +214,9 @@
 
 @then("they all go to the agent that was offered the flow")
 def to_offered(context):
-    sent = [balancer_sample.host_at(context, o.to) for o in context.outs]
+    # The first output is a sample of the time since the offer.
+    assert isinstance(context.outs[0], outputs.Timing), context.outs
+    sent = [balancer_sample.host_at(context, o.to) for o in context.outs[1:]]
     assert set(sent) == set(context.offered) and len(sent) == 20, sent
 
 
