Report a longer service time for upstreams that fail requests

Upstreams that fail part of their requests keep good heartbeats, and those that fail at once even get more than their share of flows. Agents now judge their upstream by the times of its answers, and balancers assume the mean of its service for an upstream without a known service time. Both only if the contracts of the settings file contain health.

--- a/crocusmux/core/forward/agent.py
+++ b/crocusmux/core/forward/agent.py
@@ -8,6 +8,7 @@
 from crocusmux.core.forward import reports
 from crocusmux.core.forward import segments
 from crocusmux.core.forward import subscribers
+from crocusmux.core.forward import upstream_health
 from crocusmux.core.forward import upstream_load
 from crocusmux.core.forward import upstreams
 
@@ -46,7 +47,13 @@
     """
 
     def __init__(
-        self, host: str, service: str, incarnation: int, interval_s: float
+        self,
+        host: str,
+        service: str,
+        incarnation: int,
+        interval_s: float,
+        *,
+        detect_outliers: bool = False,
     ) -> None:
         """Creates an agent that has not heard from its upstream.
 
@@ -55,9 +62,14 @@
             service: Service of the upstream.
             incarnation: Random number that identifies this agent incarnation.
             interval_s: Interval of the upstream's heartbeats, seconds.
+            detect_outliers: True to report a longer service time while the
+                upstream fails requests.
         """
+        self._health = (
+            upstream_health.UpstreamHealth() if detect_outliers else None
+        )
         self.lifecycle = heartbeats.UpstreamLifecycle(interval_s)
-        self.load = upstream_load.UpstreamLoad()
+        self.load = upstream_load.UpstreamLoad(self._health)
         self.stopping = False
         self._host = host
         self._service = service
@@ -117,7 +129,7 @@
         """Returns why to decline a new flow; empty if it is accepted."""
         if seg.service_tag != self._service_tag:
             return reports.DECLINED_OTHER_SERVICE
-        if self.stopping or self.lifecycle.draining():
+        if self._leaving():
             return reports.DECLINED_LEAVING
         if self.lifecycle.current is None:
             return reports.DECLINED_UNKNOWN_STATE
@@ -181,7 +193,8 @@
         if seg.final or seg.reset:
             flow.closing = True
         if seg.reset:
-            self._end_request(now, flow, answered=False)
+            given_up = self._is_overdue(now, flow)
+            self._end_request(now, flow, answered=False, failed=given_up)
         if seg.length == 0:
             return
         end = (seg.seq + seg.length) % segments.SEQUENCE_MODULUS
@@ -198,14 +211,45 @@
         flow.request_began_at = now
         beat = self.lifecycle.current
         slots = beat.slots if beat else 1
-        flow.request_queued = self.load.in_progress >= slots
+        busy = self.load.in_progress
+        if self._health is not None:
+            busy -= self._health.overdue_count
+        flow.request_queued = busy >= slots
+        if self._health is not None and not flow.request_queued:
+            self._health.begin(now, flow)
         self.load.begin(now)
 
+    def _is_overdue(self, now: float, flow: agent_flows.Flow) -> bool:
+        """Returns True if a request that found a free slot is overdue."""
+        return (
+            self._health is not None
+            and bool(flow.request_began_at)
+            and not flow.request_queued
+            and self._health.is_overdue(now - flow.request_began_at)
+        )
+
     def _end_request(
-        self, now: float, flow: agent_flows.Flow, answered: bool
+        self,
+        now: float,
+        flow: agent_flows.Flow,
+        answered: bool,
+        failed: bool = False,
     ) -> None:
+        """Ends a flow's request, if any.
+
+        Args:
+            now: Time in seconds.
+            flow: The flow.
+            answered: True if the upstream answered the request.
+            failed: True if the upstream is the cause of a missing answer.
+        """
         if not flow.request_began_at:
             return
+        if self._health is not None:
+            self._health.end(flow)
+            if failed and not self._leaving():
+                age_s = now - flow.request_began_at
+                self._health.record_failure(now, age_s)
         self.load.end(now, flow.request_began_at, flow.request_queued, answered)
         flow.request_began_at = 0.0
 
@@ -239,8 +283,10 @@
             sent.append(outputs.Timing(outputs.ANSWERED, answer_s))
             self._end_request(now, flow, answered=True)
         if seg.final or seg.reset:
+            # After the caller has closed the flow, the upstream need not answer.
+            failed = not flow.closing or self._is_overdue(now, flow)
             flow.closing = True
-            self._end_request(now, flow, answered=False)
+            self._end_request(now, flow, answered=False, failed=failed)
         sent.append(outputs.ToCaller(seg))
         return sent
 
@@ -298,6 +344,10 @@
                 f" slots={beat.slots} draining={beat.draining}"
             )
             sent.append(outputs.Event("upstream-started", b"", detail, True))
+            if self._health is not None:
+                self._health.restart()
+        if self._health is not None:
+            self._health.learn_until(now + beat.warmup_s)
         return sent + self._report_change(now)
 
     def on_deregister(self, now: float, upstream: str) -> Outputs:
@@ -365,6 +415,8 @@
         """Runs timeouts, reports and expiry, every ``TIMER_INTERVAL_S``."""
         self.lifecycle.start(now)
         sent = self._check_silence(now)
+        if self._health is not None:
+            sent += self._health.on_timer(now, judge=not self._leaving())
         self._open_flow_count = sum(
             flow.open and not flow.closing for flow in self._flows.values()
         )
@@ -435,6 +487,9 @@
                 del self._returned_at[key]
         self._subscribers.expire(now)
 
+    def _leaving(self) -> bool:
+        return self.stopping or self.lifecycle.draining()
+
     def accepting(self, now: float) -> bool:
         """Returns True unless new flows would be declined at any load."""
         return (
@@ -478,7 +533,7 @@
             slots=beat.slots if beat else 1,
             in_progress=round(self.load.mean_in_progress(now), 2),
             flows=self._open_flow_count,
-            service_ms=math.ceil(self.load.service_ms),
+            service_ms=math.ceil(self.load.reported_service_ms()),
             interval_s=interval_s,
             config_version=version,
             config_source=source,
--- a/crocusmux/core/forward/balancer.py
+++ b/crocusmux/core/forward/balancer.py
@@ -69,6 +69,8 @@
         address: tuple[str, int],
         config_source: str,
         rng: random.Random,
+        *,
+        detect_outliers: bool = False,
     ) -> None:
         """Creates a balancer without routes and agents.
 
@@ -78,6 +80,8 @@
             address: Address to which agents send messages.
             config_source: Address that serves the balancer's configuration.
             rng: Source of random numbers.
+            detect_outliers: True if agents report longer service times of
+                failing upstreams; new upstreams then count as average.
         """
         self.routes = routes.RouteTable()
         self.agent_table = agent_table.AgentTable(failure_domain)
@@ -89,7 +93,10 @@
         self._rng = rng
         self._openings = openings.OpeningQueue()
         self._chooser = chooser.UpstreamChooser(
-            self.agent_table, failure_domain, rng
+            self.agent_table,
+            failure_domain,
+            rng,
+            assume_mean=detect_outliers,
         )
         self._resolver = holder_resolver.HolderResolver(
             self.routes, self.agent_table, self.flows
--- a/crocusmux/core/forward/chooser.py
+++ b/crocusmux/core/forward/chooser.py
@@ -14,7 +14,8 @@
 # only if fewer than two have such a report, as two are compared.
 RECENT_REPORT_S = 0.5
 MIN_RECENT = 2
-# Maximum age of a cached flow density, and the agents from which it is taken.
+# Maximum age of a cached flow density and mean service time, and the agents from
+# which they are taken.
 FLOW_DENSITY_INTERVAL_S = 0.25
 FLOW_DENSITY_SAMPLE = 256
 # Minimum interval between two scans of all agents of a service for some that
@@ -27,6 +28,8 @@
 
     __slots__ = (
         "_agent_table",
+        "_assume_mean",
+        "_assumed_service_ms",
         "_failure_domain",
         "_flow_densities",
         "_next_scans",
@@ -38,15 +41,24 @@
         agents: agent_table.AgentTable,
         failure_domain: str,
         rng: random.Random,
+        *,
+        assume_mean: bool = False,
     ) -> None:
-        """Creates a chooser for a balancer in a failure domain."""
+        """Creates a chooser for a balancer in a failure domain.
+
+        With ``assume_mean`` an upstream without a known service time is assumed
+        to be as slow as the mean of the others of its service.
+        """
         self._agent_table = agents
+        self._assume_mean = assume_mean
         self._failure_domain = failure_domain
         self._rng = rng
         # Time from which all agents may be scanned again, by service.
         self._next_scans: dict[str, float] = {}
         # Time of calculation and flow density, by service.
         self._flow_densities: dict[str, tuple[float, float]] = {}
+        # Service time of upstreams without a known one, by service.
+        self._assumed_service_ms: dict[str, float] = {}
 
     def choose(
         self, now: float, key: bytes, service: str, tried: set[str]
@@ -75,9 +87,14 @@
             return recently_reported(now, remote)
 
         density = self._mean_flow_density(now, service)
+        assumed_ms = self._assumed_service_ms.get(
+            service, selection.DEFAULT_SERVICE_MS
+        )
         domain, rng = self._failure_domain, self._rng
         recent = recently_reported(now, local)
-        chosen = selection.choose(recent, find_remote, domain, rng, density)
+        chosen = selection.choose(
+            recent, find_remote, domain, rng, density, assumed_ms
+        )
         if chosen is not None or now < self._next_scans.get(service, 0.0):
             return chosen
         # Few of many agents accept flows, so none of the preferred ones does.
@@ -88,7 +105,9 @@
         is_local = self._agent_table.is_local
         local = [x for x in accepting if is_local(x.record)]
         remote = [x for x in accepting if not is_local(x.record)]
-        return selection.choose(local, lambda: remote, domain, rng, density)
+        return selection.choose(
+            local, lambda: remote, domain, rng, density, assumed_ms
+        )
 
     def _mean_flow_density(self, now: float, service: str) -> float:
         """Returns the open flows of a service per unit of its capacity."""
@@ -98,7 +117,11 @@
             if len(agents) > FLOW_DENSITY_SAMPLE:
                 agents = self._rng.sample(agents, FLOW_DENSITY_SAMPLE)
             live = [upstream for upstream in agents if not upstream.silent(now)]
-            cached = now, selection.flow_density(live)
+            assumed_ms = selection.DEFAULT_SERVICE_MS
+            if self._assume_mean:
+                assumed_ms = selection.mean_service_ms(live)
+                self._assumed_service_ms[service] = assumed_ms
+            cached = now, selection.flow_density(live, assumed_ms)
             self._flow_densities[service] = cached
         return cached[1]
 
--- a/crocusmux/core/forward/selection.py
+++ b/crocusmux/core/forward/selection.py
@@ -5,7 +5,8 @@
 
 from crocusmux.core.forward import upstreams
 
-# Service time assumed until an upstream has answered a request.
+# Service time assumed until an upstream has answered a request, unless that of
+# others is assumed.
 DEFAULT_SERVICE_MS = 30.0
 # Penalty for another failure domain: two more network crossings, and traffic
 # between domains is billed.
@@ -28,6 +29,7 @@
     failure_domain: str,
     rng: random.Random,
     mean_density: float,
+    assumed_ms: float = DEFAULT_SERVICE_MS,
 ) -> upstreams.Upstream | None:
     """Returns the upstream for a new flow; None without candidates.
 
@@ -41,79 +43,109 @@
         failure_domain: Failure domain of the balancer.
         rng: Source of random numbers.
         mean_density: Flow density of the whole service.
+        assumed_ms: Service time of upstreams whose own is unknown, ms.
     """
     preferred: list[upstreams.Upstream] = []
     others: list[upstreams.Upstream] = []
     for upstream in local:
-        has_excess = flow_excess(upstream, mean_density) > MAX_EXCESS
+        excess = flow_excess(upstream, mean_density, assumed_ms)
+        has_excess = excess > MAX_EXCESS
         (others if has_excess else preferred).append(upstream)
-    sample = sample_by_capacity(preferred, rng)
-    if not any(has_room(upstream) for upstream in sample):
+    sample = sample_by_capacity(preferred, rng, assumed_ms)
+    if not any(has_room(upstream, assumed_ms) for upstream in sample):
         others += find_remote()
-        sample += sample_by_capacity(others, rng)
+        sample += sample_by_capacity(others, rng, assumed_ms)
     if not sample:
         return None
 
     def cost(upstream: upstreams.Upstream) -> float:
-        excess = max(1.0, flow_excess(upstream, mean_density))
-        return excess * answer_time_ms(upstream, failure_domain)
+        excess = max(1.0, flow_excess(upstream, mean_density, assumed_ms))
+        return excess * answer_time_ms(upstream, failure_domain, assumed_ms)
 
     return min(sample, key=cost)
 
 
-def flow_density(reported: Sequence[upstreams.Upstream]) -> float:
+def mean_service_ms(reported: Sequence[upstreams.Upstream]) -> float:
+    """Returns the mean of the known service times, or the default."""
+    known = [x.report.service_ms for x in reported if x.report]
+    known = [service_ms for service_ms in known if service_ms]
+    return sum(known) / len(known) if known else DEFAULT_SERVICE_MS
+
+
+def flow_density(
+    reported: Sequence[upstreams.Upstream],
+    assumed_ms: float = DEFAULT_SERVICE_MS,
+) -> float:
     """Returns the open flows of upstreams per unit of their capacity."""
     flows = sum(x.report.flows for x in reported if x.report)
-    return flows / (sum(capacity(x) for x in reported) or 1.0)
+    return flows / (sum(capacity(x, assumed_ms) for x in reported) or 1.0)
 
 
-def flow_excess(upstream: upstreams.Upstream, mean_density: float) -> float:
+def flow_excess(
+    upstream: upstreams.Upstream,
+    mean_density: float,
+    assumed_ms: float = DEFAULT_SERVICE_MS,
+) -> float:
     """Returns an upstream's flow density divided by the service's, or 0."""
     flows = upstream.report.flows if upstream.report else 0
-    density = (flows + upstream.unreported_offers) / capacity(upstream)
+    flows += upstream.unreported_offers
+    density = flows / capacity(upstream, assumed_ms)
     return density / mean_density if mean_density else 0.0
 
 
-def has_room(upstream: upstreams.Upstream) -> bool:
+def has_room(
+    upstream: upstreams.Upstream, assumed_ms: float = DEFAULT_SERVICE_MS
+) -> bool:
     """Returns True if the expected wait at an upstream is short."""
-    service_ms = service_time_ms(upstream)
-    wait_ms = (
-        answer_time_ms(upstream, upstream.record.failure_domain) - service_ms
-    )
+    service_ms = service_time_ms(upstream, assumed_ms)
+    domain = upstream.record.failure_domain
+    wait_ms = answer_time_ms(upstream, domain, assumed_ms) - service_ms
     return wait_ms <= SHORT_WAIT_SHARE * service_ms
 
 
 def sample_by_capacity(
-    usable: Sequence[upstreams.Upstream], rng: random.Random
+    usable: Sequence[upstreams.Upstream],
+    rng: random.Random,
+    assumed_ms: float = DEFAULT_SERVICE_MS,
 ) -> list[upstreams.Upstream]:
     """Returns up to ``SAMPLE_SIZE`` upstreams, weighted by capacity."""
     if len(usable) <= SAMPLE_SIZE:
         return list(usable)
-    first = rng.choices(usable, [capacity(x) for x in usable])[0]
+    weights = [capacity(x, assumed_ms) for x in usable]
+    first = rng.choices(usable, weights)[0]
     others = [x for x in usable if x is not first]
-    return [first, *rng.choices(others, [capacity(x) for x in others])]
+    weights = [capacity(x, assumed_ms) for x in others]
+    return [first, *rng.choices(others, weights)]
 
 
-def capacity(upstream: upstreams.Upstream) -> float:
+def capacity(
+    upstream: upstreams.Upstream, assumed_ms: float = DEFAULT_SERVICE_MS
+) -> float:
     """Returns an upstream's capacity in requests per millisecond."""
     slots = upstream.report.slots if upstream.report else 1
-    return max(slots, 1) / service_time_ms(upstream)
+    return max(slots, 1) / service_time_ms(upstream, assumed_ms)
 
 
-def service_time_ms(upstream: upstreams.Upstream) -> float:
-    """Returns an upstream's mean service time, or the default if unknown."""
+def service_time_ms(
+    upstream: upstreams.Upstream, assumed_ms: float = DEFAULT_SERVICE_MS
+) -> float:
+    """Returns an upstream's mean service time, or the assumed if unknown."""
     known = upstream.report.service_ms if upstream.report else 0.0
-    return known or DEFAULT_SERVICE_MS
+    return known or assumed_ms
 
 
-def answer_time_ms(upstream: upstreams.Upstream, failure_domain: str) -> float:
+def answer_time_ms(
+    upstream: upstreams.Upstream,
+    failure_domain: str,
+    assumed_ms: float = DEFAULT_SERVICE_MS,
+) -> float:
     """Returns the expected time to the answer of one more request.
 
     The wait is Sakasegawa's approximation (1977) for c servers with one queue
     at utilisation u: service * u^(sqrt(2(c+1))-1) / (c (1-u)).
     """
     report = upstream.report
-    service_ms = service_time_ms(upstream)
+    service_ms = service_time_ms(upstream, assumed_ms)
     slots, load = 1, 0.0
     if report is not None:
         slots, load = max(report.slots, 1), report.in_progress
--- a/crocusmux/core/forward/upstream_load.py
+++ b/crocusmux/core/forward/upstream_load.py
@@ -1,5 +1,7 @@
 """Load of an upstream, derived from the headers of forwarded segments."""
 
+from crocusmux.core.forward import upstream_health
+
 # Weight of a new sample in the moving average of the service time.
 SAMPLE_WEIGHT = 0.05
 # Reported service time before the first sample.
@@ -22,18 +24,24 @@
 
     Attributes:
         in_progress: Requests without an answer.
-        service_ms: Mean service time in milliseconds; 0 if unknown.
+        service_ms: Mean service time in milliseconds; 0 if unknown.  Not kept
+            while outliers are detected.
     """
 
     __slots__ = (
         "_accepted_at",
+        "_health",
         "_mean",
         "_updated_at",
         "in_progress",
         "service_ms",
     )
 
-    def __init__(self) -> None:
+    def __init__(
+        self, health: upstream_health.UpstreamHealth | None = None
+    ) -> None:
+        """Creates an idle upstream's load; ``health`` detects outliers."""
+        self._health = health
         # Time of acceptance of flows whose first request has not arrived.
         self._accepted_at: dict[bytes, float] = {}
         self.in_progress = 0
@@ -79,6 +87,10 @@
         """
         self._update_mean(now)
         self.in_progress = max(0, self.in_progress - 1)
+        if answered and self._health is not None:
+            answer_ms = (now - began_at) * 1000
+            self._health.record_answer(now, answer_ms, queued)
+            return
         if not answered or queued:
             return
         sample = (now - began_at) * 1000
@@ -87,6 +99,12 @@
         else:
             self.service_ms += SAMPLE_WEIGHT * (sample - self.service_ms)
 
+    def reported_service_ms(self) -> float:
+        """Returns the service time in ms, raised by failures; 0 if unknown."""
+        if self._health is not None:
+            return self._health.service_ms()
+        return self.service_ms
+
     def mean_in_progress(self, now: float) -> float:
         """Returns the moving average of requests in progress."""
         self._update_mean(now)
--- a/crocusmux/daemons/forward_agent.py
+++ b/crocusmux/daemons/forward_agent.py
@@ -54,7 +54,11 @@
         # Revision of the own announcement in the store; None until it is known.
         self._record_revision: int | None = None
         self.core = agent.ForwardingAgent(
-            cfg.host, cfg.service, self._incarnation, cfg.heartbeat_s
+            cfg.host,
+            cfg.service,
+            self._incarnation,
+            cfg.heartbeat_s,
+            detect_outliers=cfg.detect_outliers,
         )
         self._tasks: set[asyncio.Task] = set()
         self._messenger = forward.Messenger(
--- a/crocusmux/daemons/forward_balancer.py
+++ b/crocusmux/daemons/forward_balancer.py
@@ -64,7 +64,12 @@
         self._rng = rng
         source = f"{cfg.control[0]}:{cfg.control[1]}"
         self.core = balancer.ForwardingBalancer(
-            cfg.host, cfg.failure_domain, cfg.messages, source, rng
+            cfg.host,
+            cfg.failure_domain,
+            cfg.messages,
+            source,
+            rng,
+            detect_outliers=cfg.detect_outliers,
         )
         self._own_source = source
         self._stopping = False
--- a/crocusmux/flow_trace.py
+++ b/crocusmux/flow_trace.py
@@ -30,6 +30,8 @@
         "store-lost",
         "upstream-answers",
         "upstream-left",
+        "upstream-outlier",
+        "upstream-recovered",
         "upstream-silent",
         "upstream-started",
     }
--- a/crocusmux/forwarding.py
+++ b/crocusmux/forwarding.py
@@ -36,6 +36,8 @@
         service: Service of the upstream beside an agent.
         upstream: Address of that upstream for segments.
         outbound: Address of the agent to which that upstream sends segments.
+        detect_outliers: True to avoid upstreams that fail part of their
+            requests.
     """
 
     role: Literal["balancer", "agent"]
@@ -55,6 +57,7 @@
     service: str = ""
     upstream: Address = ("", 0)
     outbound: Address = ("", 0)
+    detect_outliers: bool = False
 
 
 class StoredObject(msgspec.Struct, frozen=True):
--- a/crocusmux/platform/host_settings.py
+++ b/crocusmux/platform/host_settings.py
@@ -13,6 +13,8 @@
 # Port of the metrics on each host, as in deploy/system.toml; the default of
 # OpenTelemetry's Prometheus exporters.
 METRICS_PORT = 9464
+# Contract of deployments whose failing upstreams are to be avoided.
+HEALTH_CONTRACT = "health"
 
 
 class _Listen(msgspec.Struct):
@@ -48,6 +50,7 @@
     bootstrap: bool = False
     service: str = ""
     app: str = ""
+    contracts: list[str] = []
 
 
 def load(path: str) -> forwarding.HostSettings:
@@ -100,4 +103,5 @@
         service=fields.service,
         upstream=addresses.split(fields.app) if agent else ("", 0),
         outbound=addresses.split(listen.outbound) if agent else ("", 0),
+        detect_outliers=HEALTH_CONTRACT in fields.contracts,
     )
