Judge queued requests from their estimated start; test failing upstreams

An upstream that turns 8 times slower is soon overloaded, so all of its requests are queued and none was judged: its reported time rose to 1.9 and fell to 1.2 times the usual within 4 s.

--- a/crocusmux/core/forward/agent.py
+++ b/crocusmux/core/forward/agent.py
@@ -211,22 +211,15 @@
         flow.request_began_at = now
         beat = self.lifecycle.current
         slots = beat.slots if beat else 1
-        busy = self.load.in_progress
+        flow.request_queued = self.load.in_progress >= slots
         if self._health is not None:
-            busy -= self._health.overdue_count
-        flow.request_queued = busy >= slots
-        if self._health is not None and not flow.request_queued:
             self._health.begin(now, flow)
         self.load.begin(now)
 
     def _is_overdue(self, now: float, flow: agent_flows.Flow) -> bool:
-        """Returns True if a request that found a free slot is overdue."""
-        return (
-            self._health is not None
-            and bool(flow.request_began_at)
-            and not flow.request_queued
-            and self._health.is_overdue(now - flow.request_began_at)
-        )
+        if self._health is None:
+            return False
+        return self._health.is_overdue(now, flow)
 
     def _end_request(
         self,
@@ -246,10 +239,8 @@
         if not flow.request_began_at:
             return
         if self._health is not None:
-            self._health.end(flow)
-            if failed and not self._leaving():
-                age_s = now - flow.request_began_at
-                self._health.record_failure(now, age_s)
+            failed = failed and not self._leaving()
+            self._health.end(now, flow, answered, failed)
         self.load.end(now, flow.request_began_at, flow.request_queued, answered)
         flow.request_began_at = 0.0
 
@@ -348,6 +339,7 @@
                 self._health.restart()
         if self._health is not None:
             self._health.learn_until(now + beat.warmup_s)
+            self._health.slots = beat.slots
         return sent + self._report_change(now)
 
     def on_deregister(self, now: float, upstream: str) -> Outputs:
--- a/crocusmux/core/forward/upstream_health.py
+++ b/crocusmux/core/forward/upstream_health.py
@@ -70,12 +70,15 @@
     failures within about 20 samples, and returns to the mean by good answers
     or with time.
 
-    Requests that found no free slot also waited in the upstream's queue, so
-    neither their age nor the time of their answer is a sample; only a fast
-    answer or a reset is.  An overdue request is assumed to hold no slot, as an
-    upstream that drops requests would otherwise never be judged again.
+    A request that finds no free slot waits in the upstream's queue, which is no
+    sign of a failure.  The queue is assumed to be in the order of arrival: when
+    a request ends, the oldest waiting one starts, and is judged by the time
+    since then.  Otherwise an overloaded upstream, which is what a slow one soon
+    becomes, would never be judged.  An overdue request is assumed to hold no
+    slot, as those that an upstream drops would block the others for good.
 
     Attributes:
+        slots: Requests that the upstream serves concurrently.
         outlier: True while the upstream is logged as an outlier.
         overdue_count: Overdue requests at the last check.
     """
@@ -90,17 +93,23 @@
         "_mean_at",
         "_mean_ms",
         "_outlier_since",
+        "_overdue_before",
         "_overdue_ms",
         "_overdue_rest",
-        "_unanswered",
+        "_started_at",
+        "_waiting",
         "outlier",
         "overdue_count",
+        "slots",
     )
 
     def __init__(self) -> None:
-        # Requests that found a free slot, in the order of their begin, with its
-        # time in seconds.
-        self._unanswered: dict[agent_flows.Flow, float] = {}
+        self.slots = 1
+        # Requests that hold a slot, in the order of their start, with its time
+        # in seconds.
+        self._started_at: dict[agent_flows.Flow, float] = {}
+        # Requests in the upstream's queue, in the order of their arrival.
+        self._waiting: dict[agent_flows.Flow, None] = {}
         self._mean_ms = 0.0
         self._mean_at = 0.0
         self._level_ms = 0.0
@@ -113,6 +122,8 @@
         # The reported time is the level times the rest plus this time.
         self._overdue_rest = 1.0
         self._overdue_ms = 0.0
+        # Requests that started before this time were overdue at the last check.
+        self._overdue_before = float("-inf")
         self.overdue_count = 0
         self.outlier = False
         self._outlier_since = 0.0
@@ -129,7 +140,8 @@
 
         The next answers form a new mean; the old one applies until then.
         """
-        self._unanswered.clear()
+        self._started_at.clear()
+        self._waiting.clear()
         self._answers = 0
         self._fast_bits = 0
         self._level_ms = self._mean_ms
@@ -140,18 +152,52 @@
         self._learning_until = until
 
     def begin(self, now: float, flow: agent_flows.Flow) -> None:
-        """Watches a request that found a free slot until it ends."""
-        self._unanswered[flow] = now
-
-    def end(self, flow: agent_flows.Flow) -> None:
-        """Ends to watch a flow's request."""
-        self._unanswered.pop(flow, None)
-
-    def is_overdue(self, age_s: float) -> bool:
-        """Returns True if an unanswered request of this age is overdue."""
-        return age_s > self._overdue_after_s()
+        """Watches a flow's new request until it ends."""
+        self._waiting[flow] = None
+        self._start_waiting(now)
+
+    def _start_waiting(self, now: float) -> None:
+        started_at, waiting = self._started_at, self._waiting
+        while waiting and len(started_at) - self.overdue_count < self.slots:
+            flow = next(iter(waiting))
+            del waiting[flow]
+            started_at[flow] = now
+
+    def end(
+        self, now: float, flow: agent_flows.Flow, answered: bool, failed: bool
+    ) -> None:
+        """Judges the end of a flow's request.
 
-    def record_failure(self, now: float, age_s: float) -> None:
+        Args:
+            now: Time in seconds.
+            flow: The flow.
+            answered: True if the upstream answered the request.
+            failed: True if the upstream is the cause of a missing answer.
+        """
+        started_at = self._started_at.pop(flow, None)
+        if started_at is None:
+            if flow not in self._waiting:
+                # The request was sent to an earlier boot of the upstream.
+                return
+            del self._waiting[flow]
+        elif started_at < self._overdue_before:
+            self.overdue_count -= 1
+        self._start_waiting(now)
+        if answered:
+            age_ms = 1000 * (now - flow.request_began_at)
+            self._record_answer(now, age_ms, started_at)
+        elif failed:
+            age_s = 0.0 if started_at is None else now - started_at
+            self._record_failure(now, age_s)
+
+    def is_overdue(self, now: float, flow: agent_flows.Flow) -> bool:
+        """Returns True if a flow has an overdue request."""
+        started_at = self._started_at.get(flow)
+        if started_at is None:
+            return False
+        return now - started_at > self._overdue_after_s()
+
+    def _record_failure(self, now: float, age_s: float) -> None:
         """Counts a request that ended without an answer.
 
         Args:
@@ -163,23 +209,27 @@
         sample_ms = max(1000 * age_s, FAILURE_MEANS * mean_ms)
         self._add_bad_sample(now, sample_ms, _sample_weight(age_s))
 
-    def record_answer(self, now: float, answer_ms: float, queued: bool) -> None:
+    def _record_answer(
+        self, now: float, age_ms: float, started_at: float | None
+    ) -> None:
         """Counts an answer.
 
         Args:
             now: Time in seconds.
-            answer_ms: Time from the request to its answer, ms.
-            queued: True if the request found no free slot.
+            age_ms: Time from the request to its answer, ms.
+            started_at: Time at which the request got a slot, seconds; None if
+                it seemed to wait for one.
         """
+        answer_ms = None if started_at is None else 1000 * (now - started_at)
         if self._answers < LEARNING_ANSWERS or now < self._learning_until:
-            if not queued:
+            if answer_ms is not None:
                 self._learn(now, answer_ms)
             return
-        fast = answer_ms < FAST_SHARE * self._mean_ms
+        fast = age_ms < FAST_SHARE * self._mean_ms
         self._fast_bits = (self._fast_bits << 1 | fast) & FAST_MASK
         if fast:
-            self._on_fast_answer(now, answer_ms)
-        elif not queued:
+            self._on_fast_answer(now, age_ms)
+        elif answer_ms is not None:
             self._on_answer(now, answer_ms)
 
     def _learn(self, now: float, answer_ms: float) -> None:
@@ -199,7 +249,7 @@
         if self._fast_bits == FAST_MASK:
             # Without any slower answer the upstream may in fact be faster.
             self._update_mean(now, answer_ms)
-        self.record_failure(now, 0.0)
+        self._record_failure(now, 0.0)
 
     def _on_answer(self, now: float, answer_ms: float) -> None:
         if answer_ms > GOOD_MEANS * self._mean_ms:
@@ -243,6 +293,7 @@
     def _clear_overdue(self) -> None:
         self._overdue_rest = 1.0
         self._overdue_ms = 0.0
+        self._overdue_before = float("-inf")
         self.overdue_count = 0
 
     def on_timer(self, now: float, judge: bool) -> list[outputs.Output]:
@@ -257,16 +308,17 @@
         self._clear_overdue()
         if judge:
             self._add_overdue(now)
+            self._start_waiting(now)
         return self._log_change(now)
 
     def _add_overdue(self, now: float) -> None:
         """Adds the overdue requests, as samples that count until they end."""
-        limit_s = self._overdue_after_s()
+        self._overdue_before = now - self._overdue_after_s()
         max_ms = MAX_SAMPLE_MEANS * (self._mean_ms or ASSUMED_MEAN_MS)
-        for began_at in self._unanswered.values():
-            age_s = now - began_at
-            if age_s <= limit_s:
+        for started_at in self._started_at.values():
+            if started_at >= self._overdue_before:
                 break
+            age_s = now - started_at
             weight = _sample_weight(age_s)
             self.overdue_count += 1
             self._overdue_rest *= 1 - weight
--- a/crocusmux/core/forward/upstream_load.py
+++ b/crocusmux/core/forward/upstream_load.py
@@ -87,11 +87,7 @@
         """
         self._update_mean(now)
         self.in_progress = max(0, self.in_progress - 1)
-        if answered and self._health is not None:
-            answer_ms = (now - began_at) * 1000
-            self._health.record_answer(now, answer_ms, queued)
-            return
-        if not answered or queued:
+        if not answered or queued or self._health is not None:
             return
         sample = (now - began_at) * 1000
         if self.service_ms == UNKNOWN_SERVICE_MS:
--- a/features/balancer_sample.py
+++ b/features/balancer_sample.py
@@ -96,13 +96,18 @@
     return [host_at(context, o.to) for o in offers(context.outs)]
 
 
-def start(context, domain="abay", cfg=None):
+def start(context, domain="abay", cfg=None, detect_outliers=False):
     context.now = 100.0
     context.sequence = 1
     context.outs = []
     context.store_answers = True
     context.core = balancer.ForwardingBalancer(
-        "edge-1", domain, BALANCER_ADDRESS, "10.0.0.9:8166", random.Random(1)
+        "edge-1",
+        domain,
+        BALANCER_ADDRESS,
+        "10.0.0.9:8166",
+        random.Random(1),
+        detect_outliers=detect_outliers,
     )
     context.core.configure(cfg or configuration(5))
 
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -265,6 +265,7 @@
         "bounds": {"grace_s": 6},
         "app": "10.1.0.13:8165",
         "service": "rounds",
+        "contracts": [],
         "platform": {"address": "10.200.1.7:8169"},
     }
     if value == "missing":
