--- a/features/steps/upstream_health_steps.py
+++ b/features/steps/upstream_health_steps.py
@@ -64,7 +64,7 @@
 
 @when("{count:d} of 100 requests take 7 times as long for {seconds:g} s")
 def run_with_tail(context, count, seconds):
-    context.upstream.tail_share = count / 100
+    context.upstream.in_tail = lambda number: number % 100 < count
     run_in_mode(context, "healthy", seconds)
 
 
@@ -81,6 +81,39 @@
     assert context.upstream.queued > 100, context.upstream.queued
 
 
+@when("{times:d} times {count:d} flows send their requests at once")
+def run_bursts(context, times, count):
+    simulation = context.simulation
+    context.since = simulation.now
+    for _ in range(times):
+        simulation.hold_requests = True
+        # Slowly enough that the agent declines none.
+        simulation.start_requests(0.1)
+        simulation.run(0.1 * count)
+        simulation.stop_requests()
+        simulation.run(1.0)
+        queued = context.upstream.queued
+        assert simulation.release_requests() >= count / 2
+        assert context.upstream.queued > queued + count / 4
+        # Longer than the upstream takes for all of them.
+        simulation.run(1.0)
+
+
+@when(
+    "the upstream is healthy for {seconds:g} s with {rate:d} requests a second"
+)
+def run_with_few_requests(context, seconds, rate):
+    context.simulation.start_requests(1 / rate)
+    run_in_mode(context, "healthy", seconds)
+
+
+@then("no answer counts as fast in the next {seconds:g} s")
+def none_is_fast(context, seconds):
+    context.simulation.start_requests(REQUEST_INTERVAL_S)
+    context.simulation.run(seconds)
+    assert context.upstream.core._health._fast_bits == 0
+
+
 def reported(context):
     values = context.upstream.service_ms
     return [ms for at, ms in values if at >= context.since]
@@ -100,10 +133,10 @@
     assert last <= RECOVERED * context.usual_ms, (context.usual_ms, last)
 
 
-@then("its reported service time never reached twice the usual")
+@then("its reported service time stayed close to the usual")
 def has_not_risen(context):
     top = max(reported(context))
-    assert top < RISEN * context.usual_ms, (context.usual_ms, top)
+    assert top <= RECOVERED * context.usual_ms, (context.usual_ms, top)
 
 
 def outlier_events(context):
--- a/features/upstream_health.feature
+++ b/features/upstream_health.feature
@@ -6,7 +6,7 @@
     Given an agent that detects outliers and a healthy upstream
     When the upstream is <mode> for 1 s
     Then its reported service time has risen to twice the usual or more
-    When the upstream is <mode> for 4 s
+    When the upstream is <mode> for 20 s
     Then an outlier was logged once
     When the upstream is healthy for 10 s
     Then its reported service time is close to the usual again
@@ -36,11 +36,19 @@
       | error |
       | slow  |
 
+  # Guards against an avoided upstream that returns late, as its few good answers
+  # weigh little.
+  Scenario: A failing upstream recovers with few requests
+    Given an agent that detects outliers and a healthy upstream
+    When the upstream is reset for 5 s
+    And the upstream is healthy for 10 s with 2 requests a second
+    Then its reported service time is close to the usual again
+
   # Guards against an outlier that is missed because its agent has just started
   # and knows no usual service time.
   Scenario Outline: An upstream that fails from the start is an outlier
     Given a detecting agent whose upstream starts to fail 4 of 10 by <mode>
-    When the upstream is <mode> for 2 s
+    When the upstream is <mode> for 1 s
     Then its reported service time has risen to twice the usual or more
 
     Examples:
@@ -52,7 +60,7 @@
   Scenario: Single fast answers are no failures
     Given an agent that detects outliers and a healthy upstream
     When 1 of 10 requests are answered at once for 20 s
-    Then its reported service time never reached twice the usual
+    Then its reported service time stayed close to the usual
     And no outlier was logged
 
   # Guards against false alarms by the slowest answers of a healthy upstream.
@@ -65,16 +73,19 @@
   Scenario: A busy upstream is no outlier
     Given an agent that detects outliers and a healthy upstream
     When requests arrive as fast as it serves them for 20 s
-    Then its reported service time never reached twice the usual
+    Then its reported service time stayed close to the usual
+    When 3 times 40 flows send their requests at once
+    Then its reported service time stayed close to the usual
     And no outlier was logged
 
-  # Guards against an upstream whose recovery looks like fast answers, as the
-  # long failure has become the norm.
+  # Guards against a long failure that becomes the norm: the upstream would be
+  # avoided after it, or its usual answers would count as fast.
   Scenario: An upstream recovers from a long time of slow answers
     Given an agent that detects outliers and a healthy upstream
     When the upstream is slow for 120 s
-    And the upstream is healthy for 10 s
+    And no requests arrive for 15 s
     Then its reported service time is close to the usual again
+    And no answer counts as fast in the next 2 s
 
   # Guards against a changed report in deployments without the contract.
   Scenario: Without detection the report is the average of the answers
--- a/features/upstream_sample.py
+++ b/features/upstream_sample.py
@@ -34,6 +34,9 @@
         now: Time in seconds.
         upstreams: The simulated upstreams.
         core: The balancer; None if callers reach the agent directly.
+        request_interval_s: Mean interval between two requests, seconds; 0 for
+            none.
+        hold_requests: True if callers open their flows but send no requests.
     """
 
     def __init__(self) -> None:
@@ -44,10 +47,9 @@
         self._numbers = itertools.count()
         self._ports = itertools.count(10_000)
         self._callers: dict[bytes, Caller] = {}
-        # Interval between two requests, seconds; 0 for none.
         self.request_interval_s = 0.0
+        self.hold_requests = False
         self._rng = random.Random(3)
-        self._request_number = 0
 
     def after(self, delay_s: float, call: Callable[[], None]) -> None:
         """Calls a function later."""
@@ -110,6 +112,14 @@
         """Lets callers open no more flows."""
         self.request_interval_s = 0.0
 
+    def release_requests(self) -> int:
+        """Lets all callers that hold their request send it; returns how many."""
+        self.hold_requests = False
+        holding = [caller for caller in self._callers.values() if caller.holds]
+        for caller in holding:
+            caller.send_request()
+        return len(holding)
+
     def _next_request(self) -> None:
         if not self.request_interval_s:
             return
@@ -161,16 +171,17 @@
 
     Attributes:
         done: True once the request is answered or has failed.
+        holds: True while the flow is open and the request is not sent.
     """
 
     def __init__(self, simulation: Simulation, key: bytes) -> None:
         self._simulation = simulation
         self._key = key
         self.done = False
+        self.holds = False
         self._sent = False
         simulation.add_caller(key, self)
         self._send(opening=True, ack=0)
-        simulation.after(GIVE_UP_S, self._give_up)
 
     def _send(self, **changes) -> None:
         self._simulation.send(make_segment(self._key, **changes))
@@ -180,14 +191,23 @@
         if self.done:
             return
         if seg.opening and not self._sent:
-            self._sent = True
-            self._send(ack=5001, length=100)
+            self._send(ack=5001)
+            self.holds = True
+            if not self._simulation.hold_requests:
+                self.send_request()
         elif seg.reset:
             self.done = True
         elif seg.length:
             self.done = True
             self._send(seq=1100, ack=5501, final=True)
 
+    def send_request(self) -> None:
+        """Sends the request."""
+        self.holds = False
+        self._sent = True
+        self._simulation.after(GIVE_UP_S, self._give_up)
+        self._send(ack=5001, length=100)
+
     def _give_up(self) -> None:
         if not self.done:
             self.done = True
@@ -207,7 +227,7 @@
         events: Names of the logged events.
         queued: Requests that found no free slot.
         draining: True if its heartbeats say so.
-        tail_share: Share of the requests that take much longer.
+        in_tail: Returns True for requests that take much longer, by number.
         service_s: Mean service time, seconds.
     """
 
@@ -222,7 +242,7 @@
         self.ip = f"10.0.1.{number}"
         self.mode = "healthy"
         self.fails: Callable[[int], bool] = lambda number: number % 10 < 4
-        self.tail_share = 0.0
+        self.in_tail: Callable[[int], bool] = lambda number: False
         self.service_s = 0.03
         self.openings: list[float] = []
         self.service_ms: list[tuple[float, float]] = []
@@ -319,7 +339,7 @@
         service_s = self.service_s * self._rng.uniform(0.5, 1.5)
         if self.mode == "slow":
             service_s *= SLOW_FACTOR
-        if self._rng.random() < self.tail_share:
+        if self.in_tail(self._requests):
             service_s = TAIL_FACTOR * self.service_s
         self._simulation.after(service_s, lambda: self._finish(key))
 
