--- a/features/steps/upstream_health_steps.py
+++ b/features/steps/upstream_health_steps.py
@@ -44,6 +44,8 @@
     (context.upstream,) = context.simulation.upstreams
     context.usual_ms = 1000 * context.upstream.service_s
     context.upstream.mode = mode
+    # No run of failures, after which alone the service time is long.
+    context.upstream.fails = lambda number: number % 5 in (0, 2)
     context.since = context.simulation.now
     context.simulation.start_requests(REQUEST_INTERVAL_S)
 
@@ -74,6 +76,15 @@
     run_in_mode(context, "error", seconds)
 
 
+@when(
+    "the upstream resets {percent:d} percent of its requests for {seconds:g} s"
+)
+def run_near_limit(context, percent, seconds):
+    rng = random.Random(5)
+    context.upstream.fails = lambda number: rng.random() < percent / 100
+    run_in_mode(context, "reset", seconds)
+
+
 @when("requests arrive as fast as it serves them for {seconds:g} s")
 def run_busy(context, seconds):
     context.simulation.start_requests(context.upstream.service_s / 2)
@@ -149,6 +160,11 @@
     assert not outlier_events(context), outlier_events(context)
 
 
+@then("an outlier or its recovery was logged {low:d} to {high:d} times")
+def few_events(context, low, high):
+    assert low <= len(outlier_events(context)) <= high, outlier_events(context)
+
+
 @then("an outlier was logged once")
 def one_outlier(context):
     assert outlier_events(context) == ["upstream-outlier"]
--- a/features/upstream_health.feature
+++ b/features/upstream_health.feature
@@ -41,7 +41,7 @@
   Scenario: A failing upstream recovers with few requests
     Given an agent that detects outliers and a healthy upstream
     When the upstream is reset for 5 s
-    And the upstream is healthy for 10 s with 2 requests a second
+    And the upstream is healthy for 5 s with 3 requests a second
     Then its reported service time is close to the usual again
 
   # Guards against an outlier that is missed because its agent has just started
@@ -56,6 +56,12 @@
       | mute  |
       | reset |
 
+  # Guards against a log that fills with lines of an upstream near the limit.
+  Scenario: An upstream that fails few requests is seldom logged
+    Given an agent that detects outliers and a healthy upstream
+    When the upstream resets 18 percent of its requests for 60 s
+    Then an outlier or its recovery was logged 1 to 6 times
+
   # Guards against false alarms by answers from a cache.
   Scenario: Single fast answers are no failures
     Given an agent that detects outliers and a healthy upstream
