--- a/crocusmux/core/forward/balancer.py
+++ b/crocusmux/core/forward/balancer.py
@@ -79,7 +79,9 @@
         address: tuple[str, int],
         config_source: str,
         rng: random.Random,
+        *,
         hedge_share: float = 0.0,
+        detect_outliers: bool = False,
     ) -> None:
         """Creates a balancer without routes and agents.
 
@@ -91,6 +93,8 @@
             rng: Source of random numbers.
             hedge_share: Limit of hedged openings as a share of all openings;
                 0 disables hedging.
+            detect_outliers: True if agents report longer service times of
+                failing upstreams; new upstreams then count as average.
         """
         self.routes = routes.RouteTable()
         self.agent_table = agent_table.AgentTable(failure_domain)
@@ -104,7 +108,11 @@
         self._openings = openings.OpeningQueue()
         self._hedging = hedging.Hedging(hedge_share)
         self._chooser = chooser.UpstreamChooser(
-            self.agent_table, failure_domain, rng, self.evacuated
+            self.agent_table,
+            failure_domain,
+            rng,
+            self.evacuated,
+            assume_mean=detect_outliers,
         )
         self._resolver = holder_resolver.HolderResolver(
             self.routes, self.agent_table, self.flows, self.evacuated
--- a/crocusmux/daemons/forward_balancer.py
+++ b/crocusmux/daemons/forward_balancer.py
@@ -78,6 +78,7 @@
             source,
             rng,
             hedge_share=cfg.hedge_share,
+            detect_outliers=cfg.detect_outliers,
         )
         self._own_source = source
         self._stopping = False
--- a/crocusmux/forwarding.py
+++ b/crocusmux/forwarding.py
@@ -39,6 +39,8 @@
         outbound: Address of the agent to which that upstream sends segments.
         hedge_share: Limit of a balancer's hedged openings as a share of all
             openings, 0 to 1; 0 disables hedging.
+        detect_outliers: True to avoid upstreams that fail part of their
+            requests.
     """
 
     role: Literal["balancer", "agent"]
@@ -60,6 +62,7 @@
     upstream: Address = ("", 0)
     outbound: Address = ("", 0)
     hedge_share: float = 0.0
+    detect_outliers: bool = False
 
 
 class StoredObject(msgspec.Struct, frozen=True):
--- a/features/balancer_sample.py
+++ b/features/balancer_sample.py
@@ -98,7 +98,9 @@
     return [host_at(context, o.to) for o in offers(context.outs)]
 
 
-def start(context, domain="abay", cfg=None, hedge_share=0.0):
+def start(
+    context, domain="abay", cfg=None, hedge_share=0.0, detect_outliers=False
+):
     context.now = 100.0
     context.sequence = 1
     context.outs = []
@@ -110,6 +112,7 @@
         "10.0.0.9:8166",
         random.Random(1),
         hedge_share=hedge_share,
+        detect_outliers=detect_outliers,
     )
     context.core.configure(cfg or configuration(5))
 
--- a/features/steps/forward_balancer_steps.py
+++ b/features/steps/forward_balancer_steps.py
@@ -75,6 +75,7 @@
 
 @when("a caller opens a flow to rounds")
 def open_flow(context):
+    context.acknowledged = False
     context.key = balancer_sample.flow_key(40001)
     seg = balancer_sample.segment(context.key, opening=True)
     context.outs = context.core.on_segment(context.now, seg)
