Keep idle flows at agents for the configured idle timeout

Cause: an agent forgot a flow after 20 s without a segment, whatever the configuration said, as agents do not know it, and then denied the flow.

Evidence: with the subscription's timeout ignored, the first row of "An idle flow is known for as long as the configuration allows" fails.

Subscriptions now carry the idle timeout of the balancer's configuration in whole seconds (one byte for usual values; older releases ignore it and send none), and an agent keeps flows for 5 s beyond it, at least 20 s as before.

--- a/crocusmux/core/forward/agent.py
+++ b/crocusmux/core/forward/agent.py
@@ -20,8 +20,11 @@
 SILENT_AFTER_S = 0.1
 # Time from silent to dead, if a heartbeat is missing as well.
 DEAD_AFTER_S = 0.5
-# Longer than the idle time after which either end may forget a flow.
+# Time without a segment after which a flow is forgotten, while no balancer has
+# told a longer idle timeout.
 FLOW_IDLE_TIMEOUT_S = 20.0
+# Time for which a flow is kept beyond its idle timeout.
+IDLE_SLACK_S = 5.0
 MAX_FLOWS = 20_000
 # Time for which the agent itself denies a flow whose segment the upstream
 # returned; longer than a holder lookup takes.
@@ -482,6 +485,9 @@
         return sent
 
     def _expire(self, now: float) -> None:
+        idle_timeout_s = max(
+            FLOW_IDLE_TIMEOUT_S, self._subscribers.idle_s + IDLE_SLACK_S
+        )
         for key, flow in list(self._flows.items()):
             if (
                 flow.request_began_at
@@ -489,7 +495,7 @@
                 > upstream_load.REQUEST_TIMEOUT_S
             ):
                 self._end_request(now, flow, answered=False)
-            if now - flow.last_segment_at > FLOW_IDLE_TIMEOUT_S:
+            if now - flow.last_segment_at > idle_timeout_s:
                 self._end_request(now, flow, answered=False)
                 del self._flows[key]
         for key, returned_at in list(self._returned_at.items()):
--- a/crocusmux/core/forward/balancer.py
+++ b/crocusmux/core/forward/balancer.py
@@ -618,6 +618,8 @@
             SUBSCRIPTION_INTERVALS * self._subscribe_interval_s()
         )
 
+        idle_s = math.ceil(self.routes.idle_s)
+
         # Few different subscriptions go to many agents.
         @functools.cache
         def subscription(
@@ -633,6 +635,7 @@
                 report_now,
                 compact=True,
                 warmup_per_s=warmup_per_s,
+                idle_s=idle_s,
             )
 
         return [
--- a/crocusmux/core/forward/reports.py
+++ b/crocusmux/core/forward/reports.py
@@ -37,6 +37,8 @@
         compact: True if the balancer can decode compact reports.
         warmup_per_s: Openings a second that an upstream of the agent's service
             takes while it is warming up; 0 if unlimited.
+        idle_s: Idle timeout of flows under that configuration, seconds; 0 from
+            older releases.
     """
 
     balancer: str
@@ -48,10 +50,13 @@
     report_now: bool = False
     compact: bool = False
     warmup_per_s: float = 0.0
+    idle_s: float = 0.0
 
     def __post_init__(self) -> None:
         addresses.check(self.address)
-        _check_numbers(self, ("valid_s", "interval_s", "warmup_per_s"))
+        _check_numbers(
+            self, ("valid_s", "interval_s", "warmup_per_s", "idle_s")
+        )
 
 
 class LoadReport(msgspec.Struct, frozen=True, tag="l", array_like=True):
--- a/crocusmux/core/forward/subscribers.py
+++ b/crocusmux/core/forward/subscribers.py
@@ -48,13 +48,16 @@
             address that serves it.
         warmup_per_s: Openings a second for a warming upstream, under that
             version; 0 if unlimited.
+        idle_s: Idle timeout of flows under that version, seconds; 0 if it is
+            unknown.
     """
 
-    __slots__ = ("_by_ip", "newest_config", "warmup_per_s")
+    __slots__ = ("_by_ip", "idle_s", "newest_config", "warmup_per_s")
 
     def __init__(self) -> None:
         self.newest_config = (0, "")
         self.warmup_per_s = 0.0
+        self.idle_s = 0.0
         self._by_ip: dict[str, Subscriber] = {}
 
     def __len__(self) -> int:
@@ -71,10 +74,12 @@
         if message.config_version > self.newest_config[0]:
             self.newest_config = (message.config_version, message.config_source)
             self.warmup_per_s = message.warmup_per_s
+            self.idle_s = message.idle_s
         elif message.config_version == self.newest_config[0]:
             # A balancer of an older release sends the same version without
-            # its rate.
+            # its rate and idle timeout.
             self.warmup_per_s = max(self.warmup_per_s, message.warmup_per_s)
+            self.idle_s = max(self.idle_s, message.idle_s)
         ip = message.address[0]
         known = self._by_ip.get(ip)
         subscriber = known or Subscriber(message.address)
--- a/features/forward_agent.feature
+++ b/features/forward_agent.feature
@@ -482,3 +482,19 @@
     Given a restarted agent whose upstream is cold for 2 s at 10 openings a second
     When 20 openings each arrive at 0.1, 0.9 and 1.1 s
     Then bursts of 0, 0 and 10 are accepted
+
+  # Guards against fault FLOW (a): an agent forgot flows after 20 s and denied
+  # them, although the configuration allowed them to be idle for longer.
+  Scenario Outline: An idle flow is known for as long as the configuration allows
+    Given an agent of rounds whose upstream is ready
+    And an open flow
+    When a balancer with the idle timeout <idle> s subscribes
+    And <seconds> s pass with heartbeats of the upstream
+    Then a query for the open flow is <outcome>
+
+    Examples:
+      | idle | seconds | outcome |
+      | 30   | 29      | claimed |
+      | 30   | 40      | denied  |
+      | 0    | 19      | claimed |
+      | 0    | 25      | denied  |
--- a/features/steps/forward_agent_steps.py
+++ b/features/steps/forward_agent_steps.py
@@ -620,3 +620,27 @@
         from_upstream(context, seg)
         (message,) = messages(context, reports.OpeningDeclined)
         assert message.reason == "upstream-full"
+
+
+@when("a balancer with the idle timeout {idle:g} s subscribes")
+def subscribe_with_idle_timeout(context, idle):
+    message = reports.Subscribe(
+        "edge-2", ("10.0.0.8", 7720), 6, "", 100.0, 0.25, idle_s=idle
+    )
+    context.core.on_subscribe(context.now, message)
+
+
+@when("{seconds:d} s pass with heartbeats of the upstream")
+def pass_with_heartbeats(context, seconds):
+    for sequence in range(2, 2 + seconds):
+        context.now += 1.0
+        beat = heartbeats_steps.heartbeat(BORN_MS, sequence)
+        context.core.on_heartbeat(context.now, beat)
+        context.core.on_timer(context.now)
+
+
+@then("a query for the open flow is {outcome}")
+def query_open_flow(context, outcome):
+    send_query(context, (context.open_key, 5001))
+    (reply,) = messages(context, reports.FlowQueryReply)
+    assert (reply.claimed, reply.uncertain) == (outcome == "claimed", 0)
--- a/features/steps/forward_balancer_steps.py
+++ b/features/steps/forward_balancer_steps.py
@@ -563,7 +563,7 @@
 
 
 @then(
-    "its subscriptions are {count:d} byte longer than those of an older release"
+    "its subscriptions are {count:d} bytes longer than those of an older release"
 )
 def check_length(context, count):
     sent = subscriptions(context)
