--- a/crocusmux/daemons/follow.py
+++ b/crocusmux/daemons/follow.py
@@ -16,8 +16,11 @@
 WATCH_TIMEOUT_S = 30.0
 # Wait of a check, a stale watch beside the exact one.  The store may lose the
 # answer to a watch without an error, on a connection that stays open; a check
-# then sees the next change.  It costs a tenth of an exact call.
-CHECK_WAIT_S = 2.0
+# then sees the next change.  It costs a tenth of an exact call.  A check that is
+# lost as well ends a second after its wait, which is sooner than a change must be
+# in force after an outage.
+CHECK_WAIT_S = 5.0
+CHECK_RETRY_S = 1.0
 MIN_CHECK_GAP_S = 0.1
 # Longest wait between two attempts while the store fails.
 MAX_BACKOFF_S = 1.0
@@ -130,7 +133,7 @@
                 )
             except errors.PlatformError:
                 # The exact watch tells whether the store is lost.
-                await asyncio.sleep(CHECK_WAIT_S)
+                await asyncio.sleep(CHECK_RETRY_S)
                 continue
             if changes is None:
                 return None
--- a/crocusmux/daemons/forward_balancer.py
+++ b/crocusmux/daemons/forward_balancer.py
@@ -118,6 +118,7 @@
                 self._on_evacuation_changes,
                 rng,
                 EVACUATION_BATCH_DELAY_S,
+                check=True,
             )
             self._followers.append(self._evacuation_follower)
             self.core.evacuated.expect_list(
--- a/features/steps/follow_steps.py
+++ b/features/steps/follow_steps.py
@@ -45,9 +45,12 @@
         return await fut
 
     async def answer_check(self, revision, wait_s):
-        await asyncio.sleep(wait_s)
-        if self.failing:
-            raise unavailable()
+        loop = asyncio.get_running_loop()
+        end = loop.time() + wait_s
+        while loop.time() < end and revision == self.object.revision:
+            if self.failing:
+                raise unavailable()
+            await asyncio.sleep(0.1)
         changed = revision != self.object.revision
         items = (self.object,) if changed else ()
         return forwarding.Changes(self.object.revision, items)
