Explain where a forwarding balancer would place a new flow

Operators could not see why a balancer prefers an upstream without sending a flow. GET /explain on a balancer's control address and the command 'crocusmux explain-flow' now show it. The steps of the choice that the explanation shares are functions of chooser.py and selection.py; the order of random draws is unchanged.

--- a/crocusmux/core/forward/agent_table.py
+++ b/crocusmux/core/forward/agent_table.py
@@ -147,6 +147,11 @@
         self._by_service[upstream.record.service].remove(upstream)
         return True
 
+    @property
+    def failure_domain(self) -> str:
+        """Failure domain of the balancer."""
+        return self._failure_domain
+
     def local_count(self) -> int:
         """Returns the number of agents in the balancer's failure domain."""
         return self._local_count
--- a/crocusmux/core/forward/balancer.py
+++ b/crocusmux/core/forward/balancer.py
@@ -6,6 +6,7 @@
 
 from crocusmux.core.forward import agent_table
 from crocusmux.core.forward import chooser
+from crocusmux.core.forward import explanation
 from crocusmux.core.forward import flow_table
 from crocusmux.core.forward import holder_resolver
 from crocusmux.core.forward import openings
@@ -141,6 +142,18 @@
             return self.agent_table.complete
         return any(upstream.report is not None for upstream in agents)
 
+    def explain(self, now: float, key: bytes) -> explanation.Explanation:
+        """Explains where a new flow would be placed; changes nothing."""
+        return explanation.explain(
+            now,
+            key,
+            self.routes,
+            self.agent_table,
+            self._chooser,
+            self._openings,
+            self.flows.get(key),
+        )
+
     def on_segment(self, now: float, seg: segments.Segment) -> Outputs:
         """Forwards, queues or refuses a caller's segment."""
         flow = self.flows.get(seg.key)
@@ -177,7 +190,7 @@
             return []
         route = self.routes.find_route(seg.key)
         if route is None:
-            return self._refuse(seg.key, "no-route")
+            return self._refuse(seg.key, routes.REFUSED_NO_ROUTE)
         flow = self.flows.add(now, seg.key)
         flow.service = route.pick_service(self._rng.random())
         flow.opening_segment = seg
@@ -222,16 +235,15 @@
             return [holder_resolver.to_agent(seg, upstream)] if upstream else []
         route = self.routes.find_route(seg.key)
         agents = self.agent_table.for_services((flow.service,))
-        all_lost = self.agent_table.complete and all(
-            upstream.lost(now) for upstream in agents
-        )
-        if route is None or all_lost:
-            return self._refuse_flow(seg.key, flow, "no-upstream")
+        reason = self._chooser.refusal_reason(now, flow.service)
+        if route is None or reason:
+            reason = reason or chooser.REFUSED_NO_UPSTREAM
+            return self._refuse_flow(seg.key, flow, reason)
         queued = seg.key in self._openings
         pending = openings.PendingOpening(seg.key, flow, route)
         if self._openings.add(now, pending):
             return [] if queued else [self._wait_event(seg.key, flow, agents)]
-        return self._refuse_flow(seg.key, flow, "no-upstream-in-time")
+        return self._refuse_flow(seg.key, flow, openings.REFUSED_TOO_LATE)
 
     def _refuse_flow(
         self, key: bytes, flow: flow_table.Flow, reason: str
@@ -358,7 +370,7 @@
         sent += self._resolver.on_timer(now)
         for pending in self._openings.pop_expired(now):
             sent += self._refuse_flow(
-                pending.key, pending.flow, "no-upstream-in-time"
+                pending.key, pending.flow, openings.REFUSED_TOO_LATE
             )
         sent += self._place_pending(now)
         return sent
--- a/crocusmux/core/forward/openings.py
+++ b/crocusmux/core/forward/openings.py
@@ -19,6 +19,8 @@
 # bounds the messages in an overload.
 MAX_OFFERS_PER_TURN = 8
 MAX_PENDING = 2_000
+# Reason for which a flow is refused that cannot be queued any longer.
+REFUSED_TOO_LATE = "no-upstream-in-time"
 
 
 class PendingOpening:
@@ -62,11 +64,15 @@
 
     def add(self, now: float, pending: PendingOpening) -> bool:
         """Queues a flow; returns False if it is too late or the queue full."""
-        if now >= pending.deadline or len(self._pending) >= MAX_PENDING:
+        if not self.can_add(now, pending):
             return False
         self._pending.setdefault(pending.key, pending)
         return True
 
+    def can_add(self, now: float, pending: PendingOpening) -> bool:
+        """Returns False if it is too late for a flow or the queue is full."""
+        return now < pending.deadline and len(self._pending) < MAX_PENDING
+
     def remove(self, key: bytes) -> None:
         """Removes a flow that was placed or refused."""
         self._pending.pop(key, None)
--- a/crocusmux/core/forward/routes.py
+++ b/crocusmux/core/forward/routes.py
@@ -9,6 +9,8 @@
 
 # Idle timeout of flows unless the configuration sets another one.
 DEFAULT_IDLE_S = 15.0
+# Reason for which a flow to an unknown address is refused.
+REFUSED_NO_ROUTE = "no-route"
 
 
 class Route(msgspec.Struct, frozen=True):
@@ -45,6 +47,20 @@
                 return name
         return self.shares[-1][0]
 
+    def service_probabilities(self) -> dict[str, float]:
+        """Returns the services that ``pick_service`` may return.
+
+        Each has the share of the fractions that lead to it.
+        """
+        total = sum(weight for _, weight in self.shares)
+        if total == 0:
+            return {self.shares[-1][0]: 1.0}
+        found: dict[str, float] = {}
+        for name, weight in self.shares:
+            if weight > 0:
+                found[name] = found.get(name, 0.0) + weight / total
+        return found
+
 
 class Configuration(msgspec.Struct, frozen=True):
     """A complete configuration of the routes.
@@ -178,6 +194,15 @@
         return {name for route in all_routes for name in route.services()}
 
 
+def encode_flow_key(caller: tuple[str, int], address: tuple[str, int]) -> bytes:
+    """Returns the key of a caller's flow to a route's address.
+
+    Raises:
+        ValueError: One of them is not an IPv4 address and a port.
+    """
+    return encode_route_address(caller) + encode_route_address(address)
+
+
 def encode_route_address(address: tuple[str, int]) -> bytes:
     """Returns an address encoded as at the end of a flow key.
 
--- a/crocusmux/core/forward/selection.py
+++ b/crocusmux/core/forward/selection.py
@@ -42,23 +42,71 @@
         rng: Source of random numbers.
         mean_density: Flow density of the whole service.
     """
-    preferred: list[upstreams.Upstream] = []
-    others: list[upstreams.Upstream] = []
-    for upstream in local:
-        has_excess = flow_excess(upstream, mean_density) > MAX_EXCESS
-        (others if has_excess else preferred).append(upstream)
+    preferred, others = split_by_excess(local, mean_density)
     sample = sample_by_capacity(preferred, rng)
     if not any(has_room(upstream) for upstream in sample):
         others += find_remote()
         sample += sample_by_capacity(others, rng)
-    if not sample:
-        return None
+    return cheapest(sample, failure_domain, mean_density)
+
+
+def choice_probabilities(
+    local: Sequence[upstreams.Upstream],
+    find_remote: Callable[[], Sequence[upstreams.Upstream]],
+    failure_domain: str,
+    mean_density: float,
+) -> dict[str, float]:
+    """Returns the hosts that ``choose`` may return, with their probability.
+
+    Visits all possible samples, so it is meant for few upstreams.  The
+    arguments are those of ``choose``; the dictionary is empty without
+    candidates.
+    """
+    preferred, others = split_by_excess(local, mean_density)
+    remote: Sequence[upstreams.Upstream] | None = None
+    found: dict[str, float] = {}
+    for first, weight in possible_samples(preferred):
+        possible = [(first, weight)]
+        if not any(has_room(upstream) for upstream in first):
+            remote = find_remote() if remote is None else remote
+            possible = [
+                (first + second, weight * second_weight)
+                for second, second_weight in possible_samples(
+                    [*others, *remote]
+                )
+            ]
+        for sample, probability in possible:
+            chosen = cheapest(sample, failure_domain, mean_density)
+            if chosen is not None:
+                host = chosen.record.host
+                found[host] = found.get(host, 0.0) + probability
+    return found
+
+
+def split_by_excess(
+    local: Sequence[upstreams.Upstream], mean_density: float
+) -> tuple[list[upstreams.Upstream], list[upstreams.Upstream]]:
+    """Returns the upstreams without excess flows, and those with them."""
+    preferred: list[upstreams.Upstream] = []
+    others: list[upstreams.Upstream] = []
+    for upstream in local:
+        excess = has_excess(upstream, mean_density)
+        (others if excess else preferred).append(upstream)
+    return preferred, others
+
+
+def cheapest(
+    sample: Sequence[upstreams.Upstream],
+    failure_domain: str,
+    mean_density: float,
+) -> upstreams.Upstream | None:
+    """Returns the upstream of a sample with the lowest cost; None if empty."""
 
     def cost(upstream: upstreams.Upstream) -> float:
         excess = max(1.0, flow_excess(upstream, mean_density))
         return excess * answer_time_ms(upstream, failure_domain)
 
-    return min(sample, key=cost)
+    return min(sample, key=cost, default=None)
 
 
 def flow_density(reported: Sequence[upstreams.Upstream]) -> float:
@@ -74,6 +122,11 @@
     return density / mean_density if mean_density else 0.0
 
 
+def has_excess(upstream: upstreams.Upstream, mean_density: float) -> bool:
+    """Returns True if an upstream has too many flows to be preferred."""
+    return flow_excess(upstream, mean_density) > MAX_EXCESS
+
+
 def has_room(upstream: upstreams.Upstream) -> bool:
     """Returns True if the expected wait at an upstream is short."""
     service_ms = service_time_ms(upstream)
@@ -94,6 +147,23 @@
     return [first, *rng.choices(others, [capacity(x) for x in others])]
 
 
+def possible_samples(
+    usable: Sequence[upstreams.Upstream],
+) -> list[tuple[list[upstreams.Upstream], float]]:
+    """Returns each sample of ``sample_by_capacity`` with its probability."""
+    if len(usable) <= SAMPLE_SIZE:
+        return [(list(usable), 1.0)]
+    total = sum(capacity(x) for x in usable)
+    samples = []
+    for first in usable:
+        left = sum(capacity(x) for x in usable if x is not first)
+        for second in usable:
+            if second is not first:
+                weight = capacity(first) / total * capacity(second) / left
+                samples.append(([first, second], weight))
+    return samples
+
+
 def capacity(upstream: upstreams.Upstream) -> float:
     """Returns an upstream's capacity in requests per millisecond."""
     slots = upstream.report.slots if upstream.report else 1
--- a/crocusmux/core/forward/upstreams.py
+++ b/crocusmux/core/forward/upstreams.py
@@ -30,6 +30,14 @@
 # time, about one service time.
 OVERLOAD_BACKOFF_S = 0.03
 
+# Reasons for which an upstream gets no new flows.
+EXCLUDED_NO_REPORT = "no-report"
+EXCLUDED_SILENT = "silent"
+EXCLUDED_LOST = "lost"
+EXCLUDED_NOT_ACCEPTING = "not-accepting"
+EXCLUDED_AVOIDED = "avoided"
+EXCLUDED_BACKING_OFF = "backing-off"
+
 
 class AgentRecord(msgspec.Struct, frozen=True):
     """An agent's announcement in the store.
@@ -141,13 +149,22 @@
 
     def accepts(self, now: float) -> bool:
         """Returns True if the agent reports and accepts new flows."""
-        return (
-            self.report is not None
-            and self.report.accepting
-            and not self.silent(now)
-            and not self.avoided
-            and self.backoff_until <= now
-        )
+        return not self.exclusion(now)
+
+    def exclusion(self, now: float) -> str:
+        """Returns why the upstream gets no new flows; empty if it gets some.
+
+        The reason is one of the ``EXCLUDED`` constants.
+        """
+        if self.silent(now):
+            if self.lost(now):
+                return EXCLUDED_LOST
+            return EXCLUDED_SILENT if self.report else EXCLUDED_NO_REPORT
+        if self.report is None or not self.report.accepting:
+            return EXCLUDED_NOT_ACCEPTING
+        if self.avoided:
+            return EXCLUDED_AVOIDED
+        return EXCLUDED_BACKING_OFF if self.backoff_until > now else ""
 
 
 def service_tag(service: str) -> int:
--- a/crocusmux/fleet.py
+++ b/crocusmux/fleet.py
@@ -12,8 +12,10 @@
 
 import msgspec
 
+from crocusmux import addresses
 from crocusmux import errors
 from crocusmux import objects
+from crocusmux.core.forward import explanation
 from crocusmux.objectapi import client as objectapi_client
 from crocusmux.objectapi import http
 
@@ -280,6 +282,49 @@
     raise errors.PlatformUnavailableError(problem, step="explain", peer=peer)
 
 
+async def explain_flow(
+    balancer: str, address: str, caller: str
+) -> explanation.Explanation:
+    """Asks a forwarding balancer where it would place a new flow now.
+
+    Args:
+        balancer: Control address of the balancer, ``ip:port``.
+        address: Address of the route, ``ip:port``.
+        caller: Address of the caller, ``ip:port``.
+
+    Raises:
+        errors.UserError: An address is malformed, or has no route.
+        errors.PlatformUnavailableError: The balancer did not explain.
+    """
+    for text in (balancer, address, caller):
+        _check_address(text)
+    query = urllib.parse.urlencode({"address": address, "caller": caller})
+    url = f"http://{balancer}/explain?{query}"
+    response = await http.make_fetch()("GET", url, None, QUERY_TIMEOUT_S)
+    if response.status == 200:
+        try:
+            return msgspec.json.decode(
+                response.body, type=explanation.Explanation
+            )
+        except msgspec.DecodeError as exc:
+            problem = f"answer is malformed: {exc}"
+    else:
+        problem = response.reason or _single_line(response.body)
+        problem = problem or f"answered {response.status}"
+    if 400 <= response.status < 500:
+        raise errors.UserError(problem, step="explain flow", peer=balancer)
+    raise errors.PlatformUnavailableError(
+        problem, step="explain flow", peer=balancer
+    )
+
+
+def _check_address(text: str) -> None:
+    try:
+        addresses.check(addresses.split(text))
+    except ValueError as exc:
+        raise errors.UserError(str(exc), step="explain flow") from exc
+
+
 async def _query_all(
     daemons: Sequence[DaemonRecord],
 ) -> list[tuple[DaemonState | None, str]]:
--- a/crocusmux/ui/app.py
+++ b/crocusmux/ui/app.py
@@ -14,6 +14,7 @@
 from crocusmux import errors
 from crocusmux.ui import base
 from crocusmux.ui import daemon
+from crocusmux.ui import explain_flow
 from crocusmux.ui import preset
 from crocusmux.ui import service
 from crocusmux.ui import status
@@ -39,7 +40,15 @@
         self.run_loop = run_loop
         self.auto_exits(False)
         self.catch_exceptions(False)
-        for module in (daemon, preset, upstream, service, status, trace):
+        for module in (
+            daemon,
+            preset,
+            upstream,
+            service,
+            status,
+            trace,
+            explain_flow,
+        ):
             for command_type in module.COMMANDS:
                 self.add(command_type())
 
