--- a/crocusmux/core/forward/explanation.py
+++ b/crocusmux/core/forward/explanation.py
@@ -17,12 +17,12 @@
 # Reasons for which a usable upstream is left out of the choice for one flow:
 # the flow prefers others; enough others have a newer report; it has more than
 # its share of the open flows; the balancer's failure domain has room; whatever
-# it is compared with has a shorter expected answer time.
+# it is compared with has an expected answer time that is not longer.
 EXCLUDED_NOT_A_CANDIDATE = "not-a-candidate"
 EXCLUDED_OLDER_REPORT = "older-report"
 EXCLUDED_EXCESS_FLOWS = "excess-flows"
 EXCLUDED_LOCAL_ROOM = "local-has-room"
-EXCLUDED_SLOWER = "slower"
+EXCLUDED_NOT_FASTER = "not-faster"
 
 # Reasons of an outcome other than a placement.  The other ones are those of
 # ``chooser``, ``openings`` and ``routes``.
@@ -214,11 +214,11 @@
     ) -> dict[str, float | None]:
         leave_out(remote, EXCLUDED_LOCAL_ROOM)
         preferred, others = selection.split_by_excess(local, density)
-        leave_out(preferred, EXCLUDED_SLOWER)
+        leave_out(preferred, EXCLUDED_NOT_FASTER)
         leave_out(others, EXCLUDED_EXCESS_FLOWS)
 
         def find_remote() -> chooser.Agents:
-            leave_out(remote, EXCLUDED_SLOWER)
+            leave_out(remote, EXCLUDED_NOT_FASTER)
             return remote
 
         return {
