--- a/crocusmux/core/forward/agent.py
+++ b/crocusmux/core/forward/agent.py
@@ -8,8 +8,10 @@
 from crocusmux.core.forward import reports
 from crocusmux.core.forward import segments
 from crocusmux.core.forward import subscribers
+from crocusmux.core.forward import upstream_health
 from crocusmux.core.forward import upstream_load
 from crocusmux.core.forward import upstreams
+from crocusmux.core.forward import warmup
 
 TIMER_INTERVAL_S = 0.05
 EXPIRY_INTERVAL_S = 1.0
@@ -46,7 +48,13 @@
     """
 
     def __init__(
-        self, host: str, service: str, incarnation: int, interval_s: float
+        self,
+        host: str,
+        service: str,
+        incarnation: int,
+        interval_s: float,
+        *,
+        detect_outliers: bool = False,
     ) -> None:
         """Creates an agent that has not heard from its upstream.
 
@@ -55,9 +63,14 @@
             service: Service of the upstream.
             incarnation: Random number that identifies this agent incarnation.
             interval_s: Interval of the upstream's heartbeats, seconds.
+            detect_outliers: True to report a longer service time while the
+                upstream fails requests.
         """
+        self._health = (
+            upstream_health.UpstreamHealth() if detect_outliers else None
+        )
         self.lifecycle = heartbeats.UpstreamLifecycle(interval_s)
-        self.load = upstream_load.UpstreamLoad()
+        self.load = upstream_load.UpstreamLoad(self._health)
         self.stopping = False
         self._host = host
         self._service = service
@@ -68,6 +81,7 @@
         self._returned_at: dict[bytes, float] = {}
         self._knows_all_flows = False
         self._subscribers = subscribers.Subscribers()
+        self._warmup_limit = warmup.WarmupLimit()
         self._unanswered_since: float | None = None
         self._silent_since: float | None = None
         self._next_expiry_at = 0.0
@@ -87,6 +101,8 @@
         flow.balancer = balancer
         if not flow.open and not flow.probing:
             if not self._acknowledges_syn_ack(seg.ack, flow):
+                # The caller goes on with another upstream.
+                self.load.end_expectation(seg.key)
                 return [self._make_denial(seg.key, balancer)]
             flow.open = True
         flow.caller_ack = seg.ack
@@ -108,6 +124,8 @@
             flow = self._add_flow(now, seg.key, balancer)
             self._returned_at.pop(seg.key, None)
             self.load.accept_flow(now, seg.key)
+            # Also without a rate, which may arrive within the next second.
+            self._warmup_limit.record(now)
         flow.last_segment_at = now
         if self._unanswered_since is None and not flow.open:
             self._unanswered_since = now
@@ -117,7 +135,7 @@
         """Returns why to decline a new flow; empty if it is accepted."""
         if seg.service_tag != self._service_tag:
             return reports.DECLINED_OTHER_SERVICE
-        if self.stopping or self.lifecycle.draining():
+        if self._leaving():
             return reports.DECLINED_LEAVING
         if self.lifecycle.current is None:
             return reports.DECLINED_UNKNOWN_STATE
@@ -126,6 +144,13 @@
         slots = self.lifecycle.current.slots
         if self.load.committed(now) >= slots * (1 + MAX_QUEUED_PER_SLOT):
             return reports.DECLINED_OVERLOAD
+        rate = self._subscribers.warmup_per_s
+        if (
+            rate > 0
+            and self.lifecycle.cold(now)
+            and not self._warmup_limit.admits(now, rate)
+        ):
+            return reports.DECLINED_WARMING
         return ""
 
     def _on_unknown_flow(
@@ -181,7 +206,8 @@
         if seg.final or seg.reset:
             flow.closing = True
         if seg.reset:
-            self._end_request(now, flow, answered=False)
+            given_up = self._is_overdue(now, flow)
+            self._end_request(now, flow, answered=False, failed=given_up)
         if seg.length == 0:
             return
         end = (seg.seq + seg.length) % segments.SEQUENCE_MODULUS
@@ -199,13 +225,35 @@
         beat = self.lifecycle.current
         slots = beat.slots if beat else 1
         flow.request_queued = self.load.in_progress >= slots
+        if self._health is not None:
+            self._health.begin(now, flow)
         self.load.begin(now)
 
+    def _is_overdue(self, now: float, flow: agent_flows.Flow) -> bool:
+        if self._health is None:
+            return False
+        return self._health.is_overdue(now, flow)
+
     def _end_request(
-        self, now: float, flow: agent_flows.Flow, answered: bool
+        self,
+        now: float,
+        flow: agent_flows.Flow,
+        answered: bool,
+        failed: bool = False,
     ) -> None:
+        """Ends a flow's request, if any.
+
+        Args:
+            now: Time in seconds.
+            flow: The flow.
+            answered: True if the upstream answered the request.
+            failed: True if the upstream is the cause of a missing answer.
+        """
         if not flow.request_began_at:
             return
+        if self._health is not None:
+            failed = failed and not self._leaving()
+            self._health.end(now, flow, answered, failed)
         self.load.end(now, flow.request_began_at, flow.request_queued, answered)
         flow.request_began_at = 0.0
 
@@ -239,8 +287,10 @@
             sent.append(outputs.Timing(outputs.ANSWERED, answer_s))
             self._end_request(now, flow, answered=True)
         if seg.final or seg.reset:
+            # After the caller has closed the flow, the upstream need not answer.
+            failed = not flow.closing or self._is_overdue(now, flow)
             flow.closing = True
-            self._end_request(now, flow, answered=False)
+            self._end_request(now, flow, answered=False, failed=failed)
         sent.append(outputs.ToCaller(seg))
         return sent
 
@@ -266,6 +316,7 @@
     ) -> Outputs:
         """Declines an opening, or denies a flow that seemed open."""
         self._flows.pop(key, None)
+        self.load.end_expectation(key)
         self._end_request(now, flow, answered=False)
         if not flow.open and not flow.probing:
             reason = reports.DECLINED_BY_UPSTREAM
@@ -293,11 +344,20 @@
             # A new boot holds none of the flows of the previous one.
             first = beat.sequence <= FIRST_HEARTBEAT_SEQUENCE
             self._knows_all_flows = before is not None or first
+            self._warmup_limit.clear()
+            if not self._knows_all_flows:
+                # The previous agent may have used up the limit just now.
+                self._warmup_limit.assume_full(now)
             detail = (
                 f"upstream={beat.upstream} born={beat.born_ms}"
                 f" slots={beat.slots} draining={beat.draining}"
             )
             sent.append(outputs.Event("upstream-started", b"", detail, True))
+            if self._health is not None:
+                self._health.restart()
+        if self._health is not None:
+            self._health.learn_until(now + beat.warmup_s)
+            self._health.slots = beat.slots
         return sent + self._report_change(now)
 
     def on_deregister(self, now: float, upstream: str) -> Outputs:
@@ -365,6 +425,8 @@
         """Runs timeouts, reports and expiry, every ``TIMER_INTERVAL_S``."""
         self.lifecycle.start(now)
         sent = self._check_silence(now)
+        if self._health is not None:
+            sent += self._health.on_timer(now, judge=not self._leaving())
         self._open_flow_count = sum(
             flow.open and not flow.closing for flow in self._flows.values()
         )
@@ -435,6 +497,9 @@
                 del self._returned_at[key]
         self._subscribers.expire(now)
 
+    def _leaving(self) -> bool:
+        return self.stopping or self.lifecycle.draining()
+
     def accepting(self, now: float) -> bool:
         """Returns True unless new flows would be declined at any load."""
         return (
@@ -478,7 +543,7 @@
             slots=beat.slots if beat else 1,
             in_progress=round(self.load.mean_in_progress(now), 2),
             flows=self._open_flow_count,
-            service_ms=math.ceil(self.load.service_ms),
+            service_ms=math.ceil(self.load.reported_service_ms()),
             interval_s=interval_s,
             config_version=version,
             config_source=source,
--- a/crocusmux/core/forward/balancer.py
+++ b/crocusmux/core/forward/balancer.py
@@ -1,13 +1,16 @@
 """State machine of a forwarding balancer; the daemon does all I/O."""
 
 from collections.abc import Iterable
+import functools
 import math
 import random
 
 from crocusmux.core.forward import agent_table
 from crocusmux.core.forward import chooser
+from crocusmux.core.forward import evacuations
 from crocusmux.core.forward import explanation
 from crocusmux.core.forward import flow_table
+from crocusmux.core.forward import hedging
 from crocusmux.core.forward import holder_resolver
 from crocusmux.core.forward import openings
 from crocusmux.core.forward import outputs
@@ -47,6 +50,7 @@
     reports.DECLINED_OVERLOAD,
     reports.DECLINED_BY_UPSTREAM,
     reports.DECLINED_UNKNOWN_STATE,
+    reports.DECLINED_WARMING,
 )
 
 Outputs = list[outputs.Output]
@@ -59,6 +63,7 @@
         routes: The configuration in force.
         agent_table: All agents, with the load of their upstreams.
         flows: Connection tracking.
+        evacuated: Failure domains whose upstreams get no new flows.
         newest_config: Newest configuration version in any agent's report, and
             the address that serves it.
     """
@@ -70,6 +75,9 @@
         address: tuple[str, int],
         config_source: str,
         rng: random.Random,
+        *,
+        hedge_share: float = 0.0,
+        detect_outliers: bool = False,
     ) -> None:
         """Creates a balancer without routes and agents.
 
@@ -79,21 +87,31 @@
             address: Address to which agents send messages.
             config_source: Address that serves the balancer's configuration.
             rng: Source of random numbers.
+            hedge_share: Limit of hedged openings as a share of all openings;
+                0 disables hedging.
+            detect_outliers: True if agents report longer service times of
+                failing upstreams; new upstreams then count as average.
         """
         self.routes = routes.RouteTable()
         self.agent_table = agent_table.AgentTable(failure_domain)
         self.flows = flow_table.FlowTable()
+        self.evacuated = evacuations.EvacuatedDomains()
         self.newest_config = (0, "")
         self._host = host
         self._address = address
         self._config_source = config_source
         self._rng = rng
         self._openings = openings.OpeningQueue()
+        self._hedging = hedging.Hedging(hedge_share)
         self._chooser = chooser.UpstreamChooser(
-            self.agent_table, failure_domain, rng
+            self.agent_table,
+            failure_domain,
+            rng,
+            self.evacuated.names,
+            assume_mean=detect_outliers,
         )
         self._resolver = holder_resolver.HolderResolver(
-            self.routes, self.agent_table, self.flows
+            self.routes, self.agent_table, self.flows, self.evacuated
         )
         self._next_subscribe_at = 0.0
         self._next_resubscribe_at = 0.0
@@ -116,9 +134,14 @@
             *self._make_subscriptions(agents),
         ]
 
-    def add_agent(self, now: float, record: upstreams.AgentRecord) -> Outputs:
-        """Adds or replaces an agent, and subscribes to its reports."""
-        upstream = self.agent_table.register(now, record)
+    def add_agent(
+        self, now: float, record: upstreams.AgentRecord, revision: int = 0
+    ) -> Outputs:
+        """Adds or replaces an agent, and subscribes to its reports.
+
+        The arguments are those of ``AgentTable.register``.
+        """
+        upstream = self.agent_table.register(now, record, revision)
         if upstream is None:
             return []
         detail = f"agent={record.host} service={record.service}"
@@ -133,6 +156,45 @@
             return []
         return [outputs.Event("agent-removed", b"", f"agent={host}", True)]
 
+    def update_evacuations(
+        self,
+        now: float,
+        domains: Iterable[str],
+        removed: Iterable[str] = (),
+        full: bool = False,
+    ) -> Outputs:
+        """Applies evacuated failure domains.
+
+        Args:
+            now: Time in seconds.
+            domains: Evacuated failure domains.
+            removed: Failure domains whose evacuation has ended.
+            full: True if all others are not evacuated.
+        """
+        begun, ended = self.evacuated.update(domains, removed, full)
+        sent: Outputs = [
+            outputs.Event("evacuate", b"", f"domain={domain}", True)
+            for domain in begun
+        ]
+        sent += [
+            outputs.Event("evacuation-ended", b"", f"domain={domain}", True)
+            for domain in ended
+        ]
+        if begun:
+            sent += self._refuse_evacuated(now)
+        return sent
+
+    def _refuse_evacuated(self, now: float) -> Outputs:
+        """Refuses the queued flows whose service is evacuated as a whole."""
+        sent: Outputs = []
+        for pending in self._openings.all():
+            if pending.flow.offered_hosts:
+                continue
+            reason = self._chooser.refusal_reason(now, pending.flow.service)
+            if reason == chooser.REFUSED_EVACUATED:
+                sent += self._refuse_flow(pending.key, pending.flow, reason)
+        return sent
+
     def ready(self) -> bool:
         """Returns True if new flows can be placed or refused."""
         if self.routes.version == 0:
@@ -152,6 +214,7 @@
             self._chooser,
             self._openings,
             self.flows.get(key),
+            self.evacuated,
         )
 
     def on_segment(self, now: float, seg: segments.Segment) -> Outputs:
@@ -163,15 +226,34 @@
             return self._on_opening(now, seg, flow)
         if flow is None:
             return self._on_unknown_flow(now, seg)
+        if seg.opening:
+            if self._reuses_key(seg, flow):
+                self.flows.remove(seg.key)
+                return self._on_new_flow(now, seg)
+            flow.opening_seq = seg.seq
+        sent: Outputs = []
         if not flow.open:
             self._openings.remove(seg.key)
+            sent = self._record_acknowledged(now, seg, flow)
         if not seg.opening:
             flow.record_segment(seg)
         if flow.holder:
-            return self._resolver.deliver(now, seg, flow)
+            return sent + self._resolver.deliver(now, seg, flow)
         if flow.offered_hosts and flow.lookup is None:
-            return self._deliver_to_offered(now, seg, flow)
-        return self._resolver.resolve(now, seg, flow)
+            return sent + self._deliver_to_offered(now, seg, flow)
+        return sent + self._resolver.resolve(now, seg, flow)
+
+    def _record_acknowledged(
+        self, now: float, seg: segments.Segment, flow: flow_table.Flow
+    ) -> Outputs:
+        """Records a caller's first packet after its opening."""
+        self._hedging.cancel(seg.key)
+        # A reset gives the opening up and acknowledges no upstream.
+        if not flow.offered_hosts or seg.reset:
+            return []
+        elapsed_s = now - flow.first_offered_at
+        self._hedging.record_acknowledged(elapsed_s)
+        return [outputs.Timing(outputs.ACKNOWLEDGED, elapsed_s)]
 
     def _on_opening(
         self, now: float, seg: segments.Segment, flow: flow_table.Flow | None
@@ -182,25 +264,51 @@
             flow.opening_segment = seg
         if not flow.offered_hosts or now - flow.offered_at >= OPENING_TIMEOUT_S:
             return self._reoffer(now, seg, flow)
+        if self._is_evacuated(flow.offered_hosts[-1]):
+            return self._place(now, seg, flow)
         upstream = self.agent_table.get(flow.offered_hosts[-1])
         return [holder_resolver.to_agent(seg, upstream)] if upstream else []
 
+    def _is_evacuated(self, host: str) -> bool:
+        """Returns True if a host's upstream gets no openings."""
+        upstream = self.agent_table.get(host)
+        return (
+            upstream is not None
+            and upstream.record.failure_domain in self.evacuated
+        )
+
+    def _reuses_key(self, seg: segments.Segment, flow: flow_table.Flow) -> bool:
+        """Returns True for a new flow with the key of an open one.
+
+        The holder of the former flow gets such an opening, and decides whether
+        it is a late duplicate.  It must not get it while it is evacuated.
+        """
+        return (
+            flow.opening_seq not in (None, seg.seq)
+            and flow.lookup is None
+            and self._is_evacuated(flow.holder)
+        )
+
     def _on_new_flow(self, now: float, seg: segments.Segment) -> Outputs:
-        if self.routes.version == 0:
+        if self.routes.version == 0 or not self.evacuated.known(now):
             return []
         route = self.routes.find_route(seg.key)
         if route is None:
             return self._refuse(seg.key, routes.REFUSED_NO_ROUTE)
+        self._hedging.bucket.add_opening()
         flow = self.flows.add(now, seg.key)
         flow.service = route.pick_service(self._rng.random())
         flow.opening_segment = seg
+        flow.opening_seq = seg.seq
         return self._place(now, seg, flow)
 
     def _reoffer(
         self, now: float, seg: segments.Segment, flow: flow_table.Flow
     ) -> Outputs:
         """Offers a retransmitted opening to another upstream."""
-        for host in flow.offered_hosts[-1:]:
+        # A hedge was offered later than the opening, so its time is not over.
+        offered = [x for x in flow.offered_hosts if x != flow.hedge_host]
+        for host in offered[-1:]:
             upstream = self.agent_table.get(host)
             if upstream is not None:
                 upstream.avoided = True
@@ -217,38 +325,117 @@
         if chosen is None:
             return self._on_no_upstream(now, seg, flow)
         self._openings.remove(seg.key)
+        if not flow.offered_hosts:
+            flow.first_offered_at = now
         flow.offered_hosts.append(chosen.record.host)
         flow.offered_at = now
         chosen.unreported_offers += 1
+        self._register_offer(now, seg.key, flow)
         return [
             holder_resolver.to_agent(seg, chosen),
             self._place_event(now, seg.key, chosen, flow),
             outputs.Timing(outputs.PLACED, now - flow.opened_at),
         ]
 
+    def _register_offer(
+        self, now: float, key: bytes, flow: flow_table.Flow
+    ) -> None:
+        """Registers an offer that may be hedged, or cancels an earlier one."""
+        if not self._hedging.enabled:
+            return
+        if self._may_hedge(key, flow):
+            self._hedging.add(now, key)
+        else:
+            self._hedging.cancel(key)
+
+    def _may_hedge(self, key: bytes, flow: flow_table.Flow) -> bool:
+        """Returns True if one upstream has the opening and one more may."""
+        route = self.routes.find_route(key)
+        return (
+            route is not None
+            and route.repeatable
+            and not flow.hedge_host
+            and len(flow.offered_hosts) == 1
+            and 1 + len(flow.busy_hosts) < MAX_OFFERS
+        )
+
+    def next_hedge_at(self) -> float:
+        """Returns when ``send_due_hedges`` has work, seconds.
+
+        Infinity if no offer waits for its caller's next packet, or if hedging
+        is disabled.
+        """
+        return self._hedging.next_due_at()
+
+    def send_due_hedges(self, now: float) -> Outputs:
+        """Offers openings that are unanswered for too long once more."""
+        sent: Outputs = []
+        for key, offered_at in self._hedging.pop_due(now):
+            flow = self.flows.get(key)
+            if flow is not None:
+                sent += self._hedge(now, key, flow, offered_at)
+        return sent
+
+    def _hedge(
+        self, now: float, key: bytes, flow: flow_table.Flow, offered_at: float
+    ) -> Outputs:
+        """Offers an opening to a second upstream that has a free slot."""
+        seg = flow.opening_segment
+        if seg is None or flow.open or not self._may_hedge(key, flow):
+            return []
+        # Queued openings need the free slots more than a flow that has one.
+        if len(self._openings):
+            return []
+        tried = {*flow.offered_hosts, *flow.busy_hosts, *flow.declined_hosts}
+        chosen = self._chooser.choose(
+            now, key, flow.service, tried, with_free_slot=True
+        )
+        if chosen is None:
+            return []
+        after_ms = f"after_ms={(now - offered_at) * 1000:.0f}"
+        if not self._hedging.bucket.take():
+            return [outputs.Event("hedge-limited", key, after_ms)]
+        host = chosen.record.host
+        flow.hedge_host = host
+        flow.offered_hosts.append(host)
+        chosen.unreported_offers += 1
+        return [
+            holder_resolver.to_agent(seg, chosen),
+            outputs.Event("hedge", key, f"agent={host} {after_ms}"),
+        ]
+
     def _on_no_upstream(
         self, now: float, seg: segments.Segment, flow: flow_table.Flow
     ) -> Outputs:
-        if flow.offered_hosts:
+        hosts = [x for x in flow.offered_hosts if not self._is_evacuated(x)]
+        if hosts:
             # The last upstream may still answer the caller's next SYN.
-            upstream = self.agent_table.get(flow.offered_hosts[-1])
+            self._openings.remove(seg.key)
+            upstream = self.agent_table.get(hosts[-1])
             return [holder_resolver.to_agent(seg, upstream)] if upstream else []
         route = self.routes.find_route(seg.key)
         agents = self.agent_table.for_services((flow.service,))
-        reason = self._chooser.refusal_reason(now, flow.service)
-        if route is None or reason:
-            reason = reason or chooser.REFUSED_NO_UPSTREAM
-            return self._refuse_flow(seg.key, flow, reason)
-        queued = seg.key in self._openings
-        pending = openings.PendingOpening(seg.key, flow, route)
-        if self._openings.add(now, pending):
-            return [] if queued else [self._wait_event(seg.key, flow, agents)]
-        return self._refuse_flow(seg.key, flow, openings.REFUSED_TOO_LATE)
+        reason = chooser.REFUSED_NO_UPSTREAM
+        if route is not None:
+            reason = self._chooser.refusal_reason(now, flow.service)
+            queued = seg.key in self._openings
+            pending = openings.PendingOpening(seg.key, flow, route)
+            if not reason and self._openings.add(now, pending):
+                event = self._wait_event(seg.key, flow, agents)
+                return [] if queued else [event]
+        if flow.offered_hosts:
+            # An evacuated upstream may have accepted the flow, so a refusal
+            # could follow a request that runs.
+            self._openings.remove(seg.key)
+            return []
+        reason = reason or openings.REFUSED_TOO_LATE
+        return self._refuse_flow(seg.key, flow, reason)
 
     def _refuse_flow(
         self, key: bytes, flow: flow_table.Flow, reason: str
     ) -> Outputs:
         self._openings.remove(key)
+        self._hedging.cancel(key)
         self.flows.remove(key)
         return self._refuse(key, reason, flow)
 
@@ -338,6 +525,11 @@
         else:
             flow.declined_hosts.add(message.host)
         sent: Outputs = [outputs.Event("declined", message.key, detail)]
+        if flow.hedge_host and flow.offered_hosts:
+            # The other upstream still has the opening.  One more offer would
+            # be a hedge beyond the limit.
+            return sent
+        self._hedging.cancel(message.key)
         if flow.opening_segment is None:
             return sent
         return sent + self._place(now, flow.opening_segment, flow)
@@ -349,7 +541,9 @@
         if upstream is None:
             return
         if message.reason == reports.DECLINED_OVERLOAD:
-            upstream.backoff_until = now + upstreams.OVERLOAD_BACKOFF_S
+            upstream.back_off(now, upstreams.OVERLOAD_BACKOFF_S)
+        elif message.reason == reports.DECLINED_WARMING:
+            upstream.back_off(now, upstreams.WARMUP_BACKOFF_S)
         elif message.reason in reports.DECLINED_BY_STATE:
             upstream.avoided = True
 
@@ -369,10 +563,13 @@
             self.flows.expire(now - idle_s)
         sent += self._resolver.on_timer(now)
         for pending in self._openings.pop_expired(now):
-            sent += self._refuse_flow(
-                pending.key, pending.flow, openings.REFUSED_TOO_LATE
-            )
+            # An evacuated upstream may have accepted a flow offered to it.
+            if not pending.flow.offered_hosts:
+                sent += self._refuse_flow(
+                    pending.key, pending.flow, openings.REFUSED_TOO_LATE
+                )
         sent += self._place_pending(now)
+        sent += self.send_due_hedges(now)
         return sent
 
     def _subscribe_interval_s(self) -> float:
@@ -415,23 +612,30 @@
             SUBSCRIPTION_INTERVALS * self._subscribe_interval_s()
         )
 
-        def subscription(interval_s: float) -> reports.Subscribe:
+        # Few different subscriptions go to many agents.
+        @functools.cache
+        def subscription(
+            is_local: bool, warmup_per_s: float
+        ) -> reports.Subscribe:
             return reports.Subscribe(
                 self._host,
                 self._address,
                 self.routes.version,
                 self._config_source,
                 valid_s,
-                interval_s,
+                local_s if is_local else remote_s,
                 report_now,
                 compact=True,
+                warmup_per_s=warmup_per_s,
             )
 
-        local, remote = subscription(local_s), subscription(remote_s)
         return [
             outputs.ToPeer(
                 upstream.record.control,
-                local if table.is_local(upstream.record) else remote,
+                subscription(
+                    table.is_local(upstream.record),
+                    self.routes.warmup_per_s(upstream.record.service),
+                ),
             )
             for upstream in agents
         ]
--- a/crocusmux/core/forward/chooser.py
+++ b/crocusmux/core/forward/chooser.py
@@ -1,6 +1,6 @@
 """Choice of the upstream for a new flow, among those that a flow prefers."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Container, Sequence
 import random
 
 from crocusmux.core.forward import agent_table
@@ -15,15 +15,18 @@
 # only if fewer than two have such a report, as two are compared.
 RECENT_REPORT_S = 0.5
 MIN_RECENT = 2
-# Maximum age of a cached flow density, and the agents from which it is taken.
+# Maximum age of a cached flow density and mean service time, and the agents from
+# which they are taken.
 FLOW_DENSITY_INTERVAL_S = 0.25
 FLOW_DENSITY_SAMPLE = 256
 # Minimum interval between two scans of all agents of a service for some that
 # accept new flows.
 SCAN_INTERVAL_S = 0.05
 
-# Reason for which a flow is refused at once.
+# Reasons for which a flow is refused at once: the service has no upstreams that
+# live, or those that live are evacuated.
 REFUSED_NO_UPSTREAM = "no-upstream"
+REFUSED_EVACUATED = "evacuated"
 
 Agents = list[upstreams.Upstream]
 
@@ -33,8 +36,10 @@
 
     __slots__ = (
         "_agent_table",
+        "_assume_mean",
+        "_cache",
+        "_evacuated",
         "_failure_domain",
-        "_flow_densities",
         "_next_scans",
         "_rng",
     )
@@ -44,18 +49,38 @@
         agents: agent_table.AgentTable,
         failure_domain: str,
         rng: random.Random,
+        evacuated: Container[str] = (),
+        *,
+        assume_mean: bool = False,
     ) -> None:
-        """Creates a chooser for a balancer in a failure domain."""
+        """Creates a chooser for a balancer in a failure domain.
+
+        Args:
+            agents: All agents.
+            failure_domain: Failure domain of the balancer.
+            rng: Source of random numbers.
+            evacuated: Failure domains whose upstreams are not chosen.
+            assume_mean: True to assume that an upstream without a known service
+                time is as slow as the mean of the others of its service.
+        """
         self._agent_table = agents
+        self._evacuated = evacuated
+        self._assume_mean = assume_mean
         self._failure_domain = failure_domain
         self._rng = rng
         # Time from which all agents may be scanned again, by service.
         self._next_scans: dict[str, float] = {}
-        # Time of calculation and flow density, by service.
-        self._flow_densities: dict[str, tuple[float, float]] = {}
+        # Time of calculation, and flow density with the service time of
+        # upstreams without a known one, by service.
+        self._cache: dict[str, tuple[float, tuple[float, float]]] = {}
 
     def choose(
-        self, now: float, key: bytes, service: str, tried: set[str]
+        self,
+        now: float,
+        key: bytes,
+        service: str,
+        tried: set[str],
+        with_free_slot: bool = False,
     ) -> upstreams.Upstream | None:
         """Returns the upstream to which a new flow is offered.
 
@@ -64,6 +89,8 @@
             key: Flow key.
             service: Service of the flow.
             tried: Hosts whose upstreams are not chosen.
+            with_free_slot: True to choose only among preferred upstreams that
+                report a free slot.
 
         Returns:
             The upstream; None if no upstream is known to accept the flow.
@@ -71,11 +98,16 @@
         exclusion = self.exclusion
 
         def usable(upstream: upstreams.Upstream) -> bool:
-            host = upstream.record.host
-            return host not in tried and not exclusion(now, upstream)
+            return (
+                upstream.record.host not in tried
+                and not exclusion(now, upstream)
+                and (
+                    not with_free_slot or selection.has_free_slot(now, upstream)
+                )
+            )
 
         local, find_remote = self.preferred(key, service, usable)
-        density = self._mean_flow_density(now, service)
+        density, assumed_ms = self._means(now, service)
         domain, rng = self._failure_domain, self._rng
         chosen = selection.choose(
             recently_reported(now, local),
@@ -83,9 +115,13 @@
             domain,
             rng,
             density,
+            assumed_ms,
         )
         if chosen is not None or not self.may_scan(now, service):
             return chosen
+        if with_free_slot:
+            # A scan would delay the next one for flows without an upstream.
+            return None
         # Few of many agents accept flows, so none of the preferred ones does.
         self._next_scans[service] = now + SCAN_INTERVAL_S
         agents = self._agent_table.for_services((service,))
@@ -93,13 +129,18 @@
         if len(accepting) > MAX_CANDIDATES:
             accepting = rng.sample(accepting, MAX_CANDIDATES)
         local, remote = self.split_by_domain(accepting)
-        return selection.choose(local, lambda: remote, domain, rng, density)
+        return selection.choose(
+            local, lambda: remote, domain, rng, density, assumed_ms
+        )
 
     def exclusion(self, now: float, upstream: upstreams.Upstream) -> str:
         """Returns why no new flow is offered to an upstream; empty if some are.
 
-        All steps of the choice, and its explanation, judge upstreams by this.
+        The reason is one of the ``EXCLUDED`` constants of ``upstreams``.  All
+        steps of the choice, and its explanation, judge upstreams by this.
         """
+        if upstream.record.failure_domain in self._evacuated:
+            return upstreams.EXCLUDED_EVACUATED
         return upstream.exclusion(now)
 
     def preferred(
@@ -134,49 +175,71 @@
         return local, [x for x in agents if not is_local(x.record)]
 
     def refusal_reason(self, now: float, service: str) -> str:
-        """Returns why waiting for an upstream is useless; empty if it is not."""
-        agents = self._agent_table.for_services((service,))
-        all_lost = self._agent_table.complete and all(
-            upstream.lost(now) for upstream in agents
-        )
-        return REFUSED_NO_UPSTREAM if all_lost else ""
-
-    def peek_flow_density(self, now: float, service: str) -> float:
-        """Returns the flow density that a choice would use now.
+        """Returns why no agent of a service will accept a flow, or ""."""
+        if not self._agent_table.complete:
+            return ""
+        evacuated = False
+        for upstream in self._agent_table.for_services((service,)):
+            if upstream.record.failure_domain in self._evacuated:
+                evacuated = True
+            elif not upstream.lost(now):
+                return ""
+        return REFUSED_EVACUATED if evacuated else REFUSED_NO_UPSTREAM
+
+    def peek_means(self, now: float, service: str) -> tuple[float, float]:
+        """Returns the flow density and service time that a choice would use.
 
         Caches nothing and draws no random number: in a service with more than
-        ``FLOW_DENSITY_SAMPLE`` agents and without a cached value, the result is
-        that of all agents instead of a sample.
+        ``FLOW_DENSITY_SAMPLE`` agents and without cached values, they are those
+        of all agents instead of a sample.
+
+        Returns:
+            Mean flow density, and the service time of upstreams whose own is
+            unknown, ms.
         """
-        cached = self._cached_flow_density(now, service)
+        cached = self._cached_means(now, service)
         if cached is not None:
             return cached
-        agents = self._agent_table.for_services((service,))
-        return _live_flow_density(now, agents)
+        agents = list(self._agent_table.for_services((service,)))
+        return self._calculate_means(now, agents)
 
-    def _mean_flow_density(self, now: float, service: str) -> float:
-        """Returns the open flows of a service per unit of its capacity."""
-        density = self._cached_flow_density(now, service)
-        if density is None:
+    def _means(self, now: float, service: str) -> tuple[float, float]:
+        """Returns what ``peek_means`` returns, from a sample; caches it."""
+        means = self._cached_means(now, service)
+        if means is None:
             agents = list(self._agent_table.for_services((service,)))
             if len(agents) > FLOW_DENSITY_SAMPLE:
                 agents = self._rng.sample(agents, FLOW_DENSITY_SAMPLE)
-            density = _live_flow_density(now, agents)
-            self._flow_densities[service] = now, density
-        return density
-
-    def _cached_flow_density(self, now: float, service: str) -> float | None:
-        cached = self._flow_densities.get(service)
+            means = self._calculate_means(now, agents)
+            self._cache[service] = now, means
+        return means
+
+    def _cached_means(
+        self, now: float, service: str
+    ) -> tuple[float, float] | None:
+        cached = self._cache.get(service)
         if cached is None or now - cached[0] > FLOW_DENSITY_INTERVAL_S:
             return None
         return cached[1]
 
+    def _calculate_means(
+        self, now: float, agents: Sequence[upstreams.Upstream]
+    ) -> tuple[float, float]:
+        """Returns the flow density and the mean service time of agents.
 
-def _live_flow_density(
-    now: float, agents: Iterable[upstreams.Upstream]
-) -> float:
-    live = [upstream for upstream in agents if not upstream.silent(now)]
-    return selection.flow_density(live)
+        Upstreams of evacuated domains are left out: they keep fewer and fewer
+        flows, and all others would seem to have more than their share.
+        """
+        live = [
+            upstream
+            for upstream in agents
+            if upstream.record.failure_domain not in self._evacuated
+            and not upstream.silent(now)
+        ]
+        assumed_ms = selection.DEFAULT_SERVICE_MS
+        if self._assume_mean:
+            assumed_ms = selection.mean_service_ms(live)
+        return selection.flow_density(live, assumed_ms), assumed_ms
 
 
 def recently_reported(
--- a/crocusmux/core/forward/explanation.py
+++ b/crocusmux/core/forward/explanation.py
@@ -4,6 +4,7 @@
 
 from crocusmux.core.forward import agent_table
 from crocusmux.core.forward import chooser
+from crocusmux.core.forward import evacuations
 from crocusmux.core.forward import flow_table
 from crocusmux.core.forward import openings
 from crocusmux.core.forward import routes
@@ -27,6 +28,8 @@
 # Reasons of an outcome other than a placement.  The other ones are those of
 # ``chooser``, ``openings`` and ``routes``.
 IGNORED_NO_CONFIGURATION = "no-configuration"
+# A new balancer waits for the list of the evacuated failure domains.
+IGNORED_NO_EVACUATIONS = "no-evacuations"
 WAITS_FOR_ROOM = "waits-for-room"
 # Some upstream has room, but all agents were scanned a moment ago.
 WAITS_FOR_SCAN = "waits-for-scan"
@@ -47,7 +50,7 @@
         in_progress: Requests in progress by its newest report.
         flows: Open flows by that report.
         unreported_offers: New flows that the balancer has offered since.
-        service_ms: Mean time to an answer, milliseconds; the default that the
+        service_ms: Mean time to an answer, milliseconds; the time that the
             balancer assumes if it is unknown.
         answer_ms: Expected time to the answer of one more request,
             milliseconds; includes the cost of another failure domain.
@@ -134,6 +137,7 @@
     upstream_chooser: chooser.UpstreamChooser,
     queue: openings.OpeningQueue,
     flow: flow_table.Flow | None,
+    evacuated: evacuations.EvacuatedDomains,
 ) -> Explanation:
     """Returns where a new flow would be placed now.
 
@@ -147,6 +151,7 @@
         upstream_chooser: The chooser of the balancer.
         queue: Its queued new flows.
         flow: The flow of this key that the balancer knows; None without one.
+        evacuated: The evacuated failure domains.
     """
     known_hosts: tuple[str, ...] = ()
     if flow is not None:
@@ -155,6 +160,9 @@
     if version == 0:
         reason = IGNORED_NO_CONFIGURATION
         return Explanation("", version, IGNORED, reason, known_hosts, ())
+    if not evacuated.known(now):
+        reason = IGNORED_NO_EVACUATIONS
+        return Explanation("", version, IGNORED, reason, known_hosts, ())
     route = route_table.find_route(key)
     if route is None:
         reason = routes.REFUSED_NO_ROUTE
@@ -200,7 +208,7 @@
 ) -> _Choice:
     """Follows the steps of ``UpstreamChooser.choose`` for all random draws."""
     domain = agents.failure_domain
-    density = upstream_chooser.peek_flow_density(now, service)
+    density, assumed_ms = upstream_chooser.peek_means(now, service)
     left_out: dict[str, str] = {}
 
     def usable(upstream: upstreams.Upstream) -> bool:
@@ -213,7 +221,9 @@
         local: chooser.Agents, remote: chooser.Agents
     ) -> dict[str, float | None]:
         leave_out(remote, EXCLUDED_LOCAL_ROOM)
-        preferred, others = selection.split_by_excess(local, density)
+        preferred, others = selection.split_by_excess(
+            local, density, assumed_ms
+        )
         leave_out(preferred, EXCLUDED_NOT_FASTER)
         leave_out(others, EXCLUDED_EXCESS_FLOWS)
 
@@ -223,7 +233,7 @@
 
         return {
             **selection.choice_probabilities(
-                local, find_remote, domain, density
+                local, find_remote, domain, density, assumed_ms
             )
         }
 
@@ -251,6 +261,8 @@
     choice: _Choice,
 ) -> list[HostExplanation]:
     """Returns all upstreams of a service, the most probable ones first."""
+    _, assumed_ms = upstream_chooser.peek_means(now, service)
+    domain = agents.failure_domain
 
     def exclusion(upstream: upstreams.Upstream) -> str:
         host = upstream.record.host
@@ -269,8 +281,8 @@
             report.in_progress if report else 0.0,
             report.flows if report else 0,
             upstream.unreported_offers,
-            selection.service_time_ms(upstream),
-            selection.answer_time_ms(upstream, agents.failure_domain),
+            selection.service_time_ms(upstream, assumed_ms),
+            selection.answer_time_ms(upstream, domain, assumed_ms),
             upstream.report_age_s(now) if report else None,
             choice.probabilities.get(host, 0.0),
             exclusion(upstream),
--- a/crocusmux/core/forward/flow_table.py
+++ b/crocusmux/core/forward/flow_table.py
@@ -20,11 +20,15 @@
         busy_hosts: Hosts that declined the opening for now.
         declined_hosts: Hosts that declined the opening for good.
         opening_segment: The caller's SYN until the flow is open.
+        opening_seq: Sequence number of that SYN; None without one here.
         last_segment: The newest segment while the holder is only assumed.
         lookup: Lookup of the holder; None without one.
         ack: The caller's last acknowledgement.
         opened_at: Time of the first segment at this balancer, seconds.
-        offered_at: Time of the last offer, seconds.
+        offered_at: Time of the last offer other than a hedge, seconds.
+        first_offered_at: Time of the first of the offers since all earlier
+            ones were declined, seconds.
+        hedge_host: Host that got the opening as a hedge; empty without one.
         last_segment_at: Time of the last segment, seconds.
         data_sent: True if the caller's last segment carried data.
         open: True once the caller has sent more than openings.
@@ -35,6 +39,8 @@
         "busy_hosts",
         "data_sent",
         "declined_hosts",
+        "first_offered_at",
+        "hedge_host",
         "holder",
         "holder_confirmed",
         "last_segment",
@@ -45,6 +51,7 @@
         "open",
         "opened_at",
         "opening_segment",
+        "opening_seq",
         "probed_at",
         "service",
     )
@@ -58,11 +65,14 @@
         self.busy_hosts: set[str] = set()
         self.declined_hosts: set[str] = set()
         self.opening_segment: segments.Segment | None = None
+        self.opening_seq: int | None = None
         self.lookup: holder_lookup.HolderLookup | None = None
         self.last_segment: segments.Segment | None = None
         self.ack = 0
         self.opened_at = now
         self.offered_at = now
+        self.first_offered_at = now
+        self.hedge_host = ""
         self.last_segment_at = now
         self.data_sent = False
         self.open = False
--- a/crocusmux/core/forward/heartbeats.py
+++ b/crocusmux/core/forward/heartbeats.py
@@ -38,7 +38,9 @@
     Clocks jump, so ``born_ms`` identifies a boot but does not always order two
     boots.  A heartbeat with an earlier ``born_ms`` may have been delayed, so
     its boot replaces the current one only if that is overdue, or after two
-    heartbeats of the other boot in a row.
+    heartbeats of the other boot in a row while the current one missed its own:
+    a partition may delay several heartbeats of an earlier boot.  Between boots
+    of the same ``born_ms`` two heartbeats in a row suffice.
 
     Attributes:
         current: Newest heartbeat of the current boot; None before the first.
@@ -107,6 +109,15 @@
         """Returns True if one heartbeat is missing."""
         return now - self.heartbeat_at > MISSED_INTERVALS * self._interval_s
 
+    def cold(self, now: float) -> bool:
+        """Returns True while the upstream is warming up.
+
+        The time left is counted down since the arrival of the heartbeat that
+        states it, as the clocks of the upstream and the agent may differ.
+        """
+        beat = self.current
+        return beat is not None and now < self.heartbeat_at + beat.warmup_s
+
     def draining(self) -> bool:
         """Returns True if the current boot accepts no new flows."""
         return self.deregistered or (
@@ -127,6 +138,7 @@
             previous is not None
             and same_boot(previous, beat)
             and beat.sequence > previous.sequence
+            and (beat.born_ms == known.born_ms or self.missed_heartbeat(now))
         )
 
 
--- a/crocusmux/core/forward/upstreams.py
+++ b/crocusmux/core/forward/upstreams.py
@@ -29,6 +29,9 @@
 # An agent that declined a flow because of overload gets no other flow for this
 # time, about one service time.
 OVERLOAD_BACKOFF_S = 0.03
+# The same for an agent whose upstream is warming up.  The next of a few openings
+# a second is admitted later than that, but another balancer may get it.
+WARMUP_BACKOFF_S = 0.1
 
 # Reasons for which an upstream gets no new flows.
 EXCLUDED_NO_REPORT = "no-report"
@@ -37,6 +40,8 @@
 EXCLUDED_NOT_ACCEPTING = "not-accepting"
 EXCLUDED_AVOIDED = "avoided"
 EXCLUDED_BACKING_OFF = "backing-off"
+# The failure domain is evacuated; the balancer judges this, not the upstream.
+EXCLUDED_EVACUATED = "evacuated"
 
 
 class AgentRecord(msgspec.Struct, frozen=True):
@@ -77,6 +82,7 @@
 
     Attributes:
         record: The agent's announcement.
+        revision: Revision of that record in the store; 0 if it is unknown.
         added_at: Time at which the agent was added, seconds.
         tag: Hash of the service name, as sent with segments.
         report: The newest load report; None before the first.
@@ -94,12 +100,16 @@
         "record",
         "report",
         "reported_at",
+        "revision",
         "tag",
         "unreported_offers",
     )
 
-    def __init__(self, now: float, record: AgentRecord) -> None:
+    def __init__(
+        self, now: float, record: AgentRecord, revision: int = 0
+    ) -> None:
         self.record = record
+        self.revision = revision
         self.added_at = now
         self.tag = service_tag(record.service)
         self.report: reports.LoadReport | None = None
@@ -123,6 +133,9 @@
         """Returns True if several reports are missing."""
         if self.report is None:
             return True
+        # Most agents have a recent report, and each opening asks for many.
+        if now - self.reported_at < MIN_SILENT_S:
+            return False
         interval_s = self.report.interval_s
         limit_s = min(
             SILENT_INTERVALS * interval_s,
@@ -147,6 +160,10 @@
         )
         return self.report_age_s(now) > max(MIN_LOST_S, limit_s)
 
+    def back_off(self, now: float, seconds: float) -> None:
+        """Offers no new flows for a time; a longer pause stays in force."""
+        self.backoff_until = max(self.backoff_until, now + seconds)
+
     def accepts(self, now: float) -> bool:
         """Returns True if the agent reports and accepts new flows."""
         return not self.exclusion(now)
--- a/crocusmux/daemons/forward_balancer.py
+++ b/crocusmux/daemons/forward_balancer.py
@@ -1,9 +1,10 @@
 """Forwarding balancer daemon: sockets, timers, HTTP, store and peers."""
 
 import asyncio
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 import itertools
 import logging
+import math
 import random
 
 import msgspec
@@ -13,6 +14,7 @@
 from crocusmux import errors
 from crocusmux import forwarding
 from crocusmux.core.forward import balancer
+from crocusmux.core.forward import evacuations
 from crocusmux.core.forward import explanation
 from crocusmux.core.forward import outputs
 from crocusmux.core.forward import reports
@@ -41,6 +43,12 @@
 # Delay after a configuration until the next watch: a small part of the three
 # seconds within which a change must be in force.
 CONFIG_BATCH_DELAY_S = 0.25
+# The same after an evacuation, of which the bound is five seconds.
+EVACUATION_BATCH_DELAY_S = 0.25
+# Longest wait of a new balancer for the evacuated domains.  A peer or the store
+# usually tells them together with the configuration; beyond this the balancer
+# serves without them, as no service at all would be worse.
+EVACUATIONS_WAIT_S = 3.0
 # Interval between attempts to get the state of a peer at the start.
 SEED_INTERVAL_S = 0.5
 # Attempts to learn the former services of routes once the store has answered.
@@ -69,13 +77,20 @@
         self._rng = rng
         source = f"{cfg.control[0]}:{cfg.control[1]}"
         self.core = balancer.ForwardingBalancer(
-            cfg.host, cfg.failure_domain, cfg.messages, source, rng
+            cfg.host,
+            cfg.failure_domain,
+            cfg.messages,
+            source,
+            rng,
+            hedge_share=cfg.hedge_share,
+            detect_outliers=cfg.detect_outliers,
         )
         self._own_source = source
         self._stopping = False
         self._stale_since: float | None = None
         self._knows_former_services = cfg.first_start
         self._list_task: asyncio.Task | None = None
+        self._hedge_timer: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task] = set()
         self._fetch_http = http.make_fetch()
         self._messenger = forward.Messenger(
@@ -98,7 +113,21 @@
             self._on_config_changes,
             rng,
             CONFIG_BATCH_DELAY_S,
+            check=True,
         )
+        self._followers = [self._config_follower, self._agent_follower]
+        if cfg.evacuations:
+            self._evacuation_follower = follow.Follower(
+                adapter.store,
+                adapter.evacuation_kind,
+                self._on_evacuation_changes,
+                rng,
+                EVACUATION_BATCH_DELAY_S,
+            )
+            self._followers.append(self._evacuation_follower)
+            self.core.evacuated.expect_list(
+                self._loop.time() + EVACUATIONS_WAIT_S
+            )
 
     async def start(self) -> None:
         """Starts the HTTP servers, the timers and the watches on the store."""
@@ -107,8 +136,7 @@
         for address in {cfg.control, cfg.metrics} - {cfg.readiness}:
             self._servers.append(forward.serve(address, self._on_request))
         for coroutine in (
-            self._config_follower.run(),
-            self._agent_follower.run(),
+            *(follower.run() for follower in self._followers),
             self._seed_from_peers(),
             self._tick(),
         ):
@@ -120,18 +148,37 @@
         await asyncio.sleep(min(DRAIN_S, self._cfg.grace_s / 2))
         for task in list(self._tasks):
             task.cancel()
+        if self._hedge_timer is not None:
+            self._hedge_timer.cancel()
 
     def _on_segment(
         self, seg: segments.Segment, sender: forwarding.Address
     ) -> None:
         del sender
         self._execute(self.core.on_segment(self._loop.time(), seg))
+        self._schedule_hedges()
 
     def _on_message(
         self, message: reports.Message, sender: forwarding.Address
     ) -> None:
         del sender
         self._execute(self.core.on_message(self._loop.time(), message))
+        self._schedule_hedges()
+
+    def _schedule_hedges(self) -> None:
+        """Schedules the next due hedge, as the tick may be 50 ms late.
+
+        There is one timer at a time.  It is not moved when an offer is
+        acknowledged, so it runs at most once in each hedge delay or so.
+        """
+        due_at = self.core.next_hedge_at()
+        if self._hedge_timer is None and due_at < math.inf:
+            self._hedge_timer = self._loop.call_at(due_at, self._send_hedges)
+
+    def _send_hedges(self) -> None:
+        self._hedge_timer = None
+        self._execute(self.core.send_due_hedges(self._loop.time()))
+        self._schedule_hedges()
 
     def _execute(self, actions: list[outputs.Output]) -> None:
         for output in actions:
@@ -165,6 +212,26 @@
                 continue
             self._execute(self.core.configure(cfg))
 
+    def _on_evacuation_changes(self, changes: forwarding.Changes) -> None:
+        names = self._check_domains(item.name for item in changes.items)
+        self._execute(
+            self.core.update_evacuations(
+                self._loop.time(), names, changes.removed, changes.full
+            )
+        )
+
+    def _check_domains(self, names: Iterable[str]) -> list[str]:
+        """Returns the well-formed names of evacuated failure domains."""
+        checked = []
+        for name in names:
+            try:
+                evacuations.check_domain(name)
+            except ValueError as exc:
+                self._messenger.record_bad_input(exc, repr(name))
+                continue
+            checked.append(name)
+        return checked
+
     def _list_agents(self) -> None:
         """Reads the list of agents beside the watch, one call at a time."""
         if self._list_task is None or self._list_task.done():
@@ -200,10 +267,10 @@
             names.add(item.name)
             try:
                 record = _record_decoder.decode(item.spec)
-            except msgspec.DecodeError as exc:
+            except (msgspec.DecodeError, RecursionError) as exc:
                 self._messenger.record_bad_input(exc, item.name)
                 continue
-            self._execute(self.core.add_agent(now, record))
+            self._execute(self.core.add_agent(now, record, item.revision))
         return names
 
     async def _seed_from_peers(self) -> None:
@@ -242,8 +309,8 @@
             self._knows_former_services = True
 
     def _store_answered(self) -> bool:
-        """Returns True once both kinds of objects have been listed."""
-        return self._config_follower.listed and self._agent_follower.listed
+        """Returns True once all kinds of objects have been listed."""
+        return all(follower.listed for follower in self._followers)
 
     async def _fetch_state(self, source: str) -> None:
         response = await self._fetch_http(
@@ -255,7 +322,7 @@
             state = msgspec.msgpack.decode(
                 response.body, type=forwarding.PeerState
             )
-        except msgspec.DecodeError as exc:
+        except (msgspec.DecodeError, RecursionError) as exc:
             self._messenger.record_bad_input(exc, source)
             return
         self._execute(self.core.configure(state.config))
@@ -263,11 +330,27 @@
         if not self._agent_follower.listed:
             for record in state.agents:
                 self._execute(self.core.add_agent(self._loop.time(), record))
+        self._learn_evacuations(state)
+
+    def _learn_evacuations(self, state: forwarding.PeerState) -> None:
+        """Adds the evacuated domains of a peer until the store has answered.
+
+        None is removed, as the peer may have started just before.
+        """
+        if not self._cfg.evacuations or self._evacuation_follower.listed:
+            return
+        # A peer without a configuration may not have asked the store yet.
+        if state.config.version:
+            names = self._check_domains(state.evacuated)
+            self._execute(
+                self.core.update_evacuations(self._loop.time(), names)
+            )
 
     async def _tick(self) -> None:
         while True:
             now = self._loop.time()
             self._execute(self.core.on_timer(now))
+            self._schedule_hedges()
             self._check_staleness(now)
             await asyncio.sleep(balancer.TIMER_INTERVAL_S)
 
@@ -283,10 +366,14 @@
             process.start_task(self._tasks, self._fetch_state(source))
 
     def _on_request(self, req: httputil.HTTPServerRequest) -> tuple[int, bytes]:
+        known = self.core.evacuated.known(self._loop.time())
         if req.path == self._adapter.ready_path:
-            ready = self.core.ready() and not self._stopping
+            ready = self.core.ready() and known and not self._stopping
             return (OK if ready else UNAVAILABLE), b""
         if req.path == STATE_PATH:
+            if not known:
+                # A peer would take it that no domain is evacuated.
+                return UNAVAILABLE, b""
             return OK, msgspec.msgpack.encode(self._state())
         if req.path == METRICS_PATH:
             return OK, self._messenger.metrics.render()
@@ -301,6 +388,7 @@
             self.core.routes.configuration,
             tuple(reporting),
             self.core.routes.former_services(),
+            tuple(sorted(self.core.evacuated)),
         )
 
 
@@ -328,7 +416,11 @@
     key = routes.encode_flow_key(caller, address)
     found = core.explain(now, key)
     if found.outcome == explanation.IGNORED:
-        return UNAVAILABLE, b"the balancer has no configuration yet\n"
+        missing = {
+            explanation.IGNORED_NO_CONFIGURATION: b"no configuration",
+            explanation.IGNORED_NO_EVACUATIONS: b"no list of evacuations",
+        }[found.reason]
+        return UNAVAILABLE, b"the balancer has %s yet\n" % missing
     if found.outcome == explanation.REFUSED:
         text = f"no route for {address[0]}:{address[1]}"
         text += f" in configuration version {found.version}\n"
--- a/crocusmux/flow_trace.py
+++ b/crocusmux/flow_trace.py
@@ -22,6 +22,8 @@
         "agent-removed",
         "agent-state",
         "configure",
+        "evacuate",
+        "evacuation-ended",
         "history-gone",
         "left-out",
         "start",
@@ -30,6 +32,8 @@
         "store-lost",
         "upstream-answers",
         "upstream-left",
+        "upstream-outlier",
+        "upstream-recovered",
         "upstream-silent",
         "upstream-started",
     }
--- a/features/explain_flow.feature
+++ b/features/explain_flow.feature
@@ -26,6 +26,48 @@
     Then 3 agents are left out as evacuated
     And 100 openings of the flow are offered to possible agents
 
+  # Guards against an evacuated agent that is explained as possible, and against
+  # probabilities that leave room for it.
+  Scenario: The agents of an evacuated failure domain are left out
+    Given a balancer with 12 uneven agents of rounds in 4 failure domains
+    When abay is evacuated
+    And the placement of a new flow is explained
+    Then 3 agents are left out as evacuated
+    And the probabilities add up to 1
+    And 4000 real choices have the explained probabilities
+
+  # Guards against an explanation of agents without a known service time by
+  # another time than the one that the choice assumes.
+  Scenario: The service time assumed under outlier detection is shown
+    Given a balancer with outlier detection
+    And its agents a, b, c of rounds report 0, 40, 200 ms and 10, 30, 6 flows
+    When the placement of a new flow is explained
+    Then agent a has a service time of 120 ms and a longer answer time
+    And agent a is less likely than agent b
+    And 4000 real choices have the explained probabilities
+
+  # Guards against a reason that ignores the assumed service time.
+  Scenario: The excess flows are judged by the service time that is assumed
+    Given a balancer with outlier detection
+    And its agents a, b, c of rounds report 0, 20, 100 ms and 10, 10, 10 flows
+    When the placement of a new flow is explained
+    Then agent a is left out as excess-flows
+    And no opening of the flow is ever offered to agent a
+
+  # Guards against probabilities that ignore the assumed service time.
+  Scenario: The probabilities follow the service time that is assumed
+    Given a balancer with 12 agents of rounds, 6 of them of unknown speed
+    When the placement of a new flow is explained
+    Then the probabilities add up to 1
+    And 4000 real choices have the explained probabilities
+
+  # Guards against a mean service time that explaining caches for the choice.
+  Scenario: Explaining leaves the assumed service time to the choice
+    Given a balancer with 400 agents of rounds, 200 of them of unknown speed
+    When 50 flows are explained
+    Then the balancer's state is that of a twin that was not asked
+    And the balancer places 200 flows as its twin does
+
   # Guards against a new agent that is explained as silent or as usable.
   Scenario: An agent that has not reported yet is left out
     Given a balancer with the agents a, b, c of rounds and d of wheelbook
@@ -103,6 +145,9 @@
       | all agents are lost                    | is refused | no-upstream         | refuse |
       | no agent takes flows and the queue is full | is refused | no-upstream-in-time | refuse |
       | the route is dropped                   | is refused | no-route            | refuse |
+      | all failure domains are evacuated      | is refused | evacuated           | refuse |
+      | all are evacuated but some agents are unknown | waits | waits-for-room    | wait   |
+      | all agents are lost or evacuated       | is refused | evacuated           | refuse |
 
   # Guards against a scan of all agents that the explanation does not know of.
   Scenario: The only accepting agent of a large service is found by a scan
@@ -158,6 +203,13 @@
     Given a balancer without a configuration
     Then its explanation has status 503 and names "no configuration"
 
+  # Guards against a placement that is explained while openings are ignored.
+  Scenario: A balancer that waits for the list of evacuations says so
+    Given a balancer with the agents a, b, c of rounds and d of wheelbook
+    When the balancer knows no list of evacuations
+    Then its explanation has status 503 and names "no list of evacuations"
+    And a real opening is ignored
+
   # Guards against a command that prints nothing or fails on a good answer.
   Scenario: The command prints the choice
     Given a store with a route to rounds, 2 balancers and 2 agents of rounds
--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -73,25 +73,62 @@
       | service     | 5            |
       | timeout_ms  | "soon"       |
 
+  # Guards against a rate that applies to another service, and against
+  # configurations without the fields that are refused.
+  Scenario: The warm-up rates of the services are decoded
+    Given a desired state with services of several warm-up rates
+    Then the limits are 12.5 for rounds and 3 for wheelbook, and none for others
+
+  # Guards against a rate that no agent can apply.
+  Scenario Outline: A malformed service rejects the desired state as a whole
+    Given a desired state whose service has <field> <value>
+    Then it is refused as malformed
+
+    Examples:
+      | field        | value    |
+      | warmup_per_s | -1       |
+      | warmup_per_s | 1e999    |
+      | warmup_per_s | 1e10     |
+      | warmup_per_s | "2"      |
+      | warmup_per_s | null     |
+      | warmup_per_s | true     |
+      | warmup_s     | "soon"   |
+      | name         | 5        |
+
   # Guards against a start with invalid settings.
   Scenario Outline: Invalid settings are rejected with the name of the field
     Given settings of a side machine in which <field> is <value>
     Then they are refused with an error that names <word>
 
     Examples:
-      | field         | value     | word          |
-      | node_name     | missing   | node_name     |
-      | port_range    | "7720"    | port_range    |
-      | platform      | {}        | address       |
-      | machine_class | "spare"   | machine_class |
-      | app           | "nowhere" | nowhere       |
-      | service       | missing   | service       |
+      | field         | value                   | word          |
+      | node_name     | missing                 | node_name     |
+      | port_range    | "7720"                  | port_range    |
+      | platform      | {}                      | address       |
+      | machine_class | "spare"                 | machine_class |
+      | app           | "nowhere"               | nowhere       |
+      | service       | missing                 | service       |
+      | bounds        | {"evacuate_ms": "soon"} | evacuate_ms   |
 
   # Guards against a failed start with the settings of a newer platform.
   Scenario: Unknown fields of the settings are ignored
     Given settings of a side machine in which colour is "blue"
     Then they are those of an agent of rounds
 
+  # Guards against calls to the store in deployments that use no evacuations,
+  # and against deployments that use them without effect.
+  Scenario Outline: Evacuations are enabled by their bound in the settings
+    Given settings of a side machine in which bounds is <value>
+    Then evacuations are <state>
+
+    Examples:
+      | value                               | state    |
+      | missing                             | disabled |
+      | {"grace_s": 6}                      | disabled |
+      | {"grace_s": 6, "evacuate_ms": null} | disabled |
+      | {"grace_s": 6, "evacuate_ms": 5000} | enabled  |
+      | {"evacuate_ms": 0.5}                | enabled  |
+
   # Guards against lists that end after the first page.
   Scenario: All pages of a list are read
     Given a store with 8 objects
@@ -126,3 +163,35 @@
     Given a store with 2 objects
     When the answer to the creation of object 9 is lost
     Then creating it again raises ConflictError
+
+  # Guards against one object of another writer that ends every balancer: the
+  # decoder fails on deep nesting with an error that nobody caught.
+  Scenario: An object that is nested too deep does not hide the others
+    Given a store whose list and watch have an object nested 2000 deep between two others
+    When the objects are listed and watched
+    Then both results name all three objects
+    And the specs of the two others are unchanged
+
+  # Guards against pruning that changes brackets in strings or shallow values.
+  Scenario Outline: Only values beyond the depth limit are pruned
+    When the JSON <text> is pruned to depth 2
+    Then the pruned JSON is <result>
+
+    Examples:
+      | text                  | result              |
+      | [1,[2,3],{"a":4}]     | [1,[2,3],{"a":4}]   |
+      | [[[1]],[{"a":{}}],5]  | [[null],[null],5]   |
+      | {"a":"[[[","b":[[0]]} | {"a":"[[[","b":[null]} |
+      | ["\\"]]]",[2]]        | ["\\"]]]",[2]]      |
+
+  # Guards against a heartbeat that is nested too deep and raises an error in the
+  # agent's HTTP server.
+  Scenario: A heartbeat that is nested too deep is refused as malformed
+    When a heartbeat whose body is nested 2000 deep arrives
+    Then the call is refused as malformed
+
+  # Guards against a datagram that is nested too deep and raises an error in a
+  # balancer's receiver.
+  Scenario: A control message that is nested too deep is bad input
+    When a control message that is nested 2000 deep arrives
+    Then it is counted as bad input
--- a/features/steps/explain_flow_steps.py
+++ b/features/steps/explain_flow_steps.py
@@ -140,6 +140,38 @@
         )
 
 
+@given("a balancer with outlier detection")
+def outlier_balancer(context):
+    balancer_sample.start(context, detect_outliers=True)
+
+
+@given("its agents a, b, c of rounds report {times} ms and {flows} flows")
+def add_reporting(context, times, flows):
+    samples = zip("abc", times.split(", "), flows.split(", "), strict=True)
+    for number, (host, service_ms, count) in enumerate(samples, 1):
+        context.core.add_agent(
+            context.now,
+            balancer_sample.record(host, "rounds", f"10.0.1.{number}"),
+        )
+        balancer_sample.report_all(
+            context, [host], service_ms=float(service_ms), flows=int(count)
+        )
+
+
+@given(
+    "a balancer with {count:d} agents of rounds, "
+    "{unknown:d} of them of unknown speed"
+)
+def unknown_speed(context, count, unknown):
+    outlier_balancer(context)
+    balancer_sample.add_agents(context, count, balancer_sample.FAILURE_DOMAINS)
+    make_uneven(context, random.Random(count))
+    # Much slower than the default, which the assumed time must not be.
+    known = context.hosts[unknown:]
+    balancer_sample.report_all(context, known, service_ms=150.0)
+    balancer_sample.report_all(context, context.hosts[:unknown], service_ms=0.0)
+
+
 @given("a balancer with 40 agents of rounds, none of them preferred")
 def none_preferred(context):
     balancer_sample.start(context)
@@ -229,6 +261,33 @@
     context.now += 4.5
 
 
+@when("all are evacuated but some agents are unknown")
+def all_are_evacuated(context):
+    context.core.update_evacuations(context.now, ["abay"])
+
+
+@when("all failure domains are evacuated")
+def known_are_evacuated(context):
+    context.core.agent_table.complete = True
+    all_are_evacuated(context)
+
+
+@when("all agents are lost or evacuated")
+def lost_or_evacuated(context):
+    context.core.add_agent(
+        context.now,
+        balancer_sample.record("e", "rounds", "10.0.1.5", "enbek"),
+    )
+    all_are_lost(context)
+    balancer_sample.report_all(context, "abc")
+    all_are_evacuated(context)
+
+
+@when("the balancer knows no list of evacuations")
+def no_evacuations(context):
+    context.core.evacuated.expect_list(context.now + 3)
+
+
 @when("the route is dropped")
 def drop_route(context):
     context.core.configure(routes.Configuration(6))
@@ -325,6 +384,20 @@
         assert chosen in names, chosen
 
 
+@then("agent a has a service time of 120 ms and a longer answer time")
+def assumed_time(context):
+    found = hosts(context)["a"]
+    assert found.service_ms == 120.0, found
+    assert found.answer_ms > 120.0, found
+
+
+@then("agent a is less likely than agent b")
+def less_likely(context):
+    # With the default of 30 ms, agent a would win each comparison.
+    found = hosts(context)
+    assert found["a"].probability < found["b"].probability, found
+
+
 @then("{count:d} agents are left out as {reason}")
 def count_left_out(context, count, reason):
     found = hosts(context).values()
@@ -338,10 +411,13 @@
     rng = random.Random(7)
     outcomes = collections.Counter()
     for number in range(count):
-        balancer_sample.start(context)
+        outliers = rng.random() < 0.5
+        balancer_sample.start(context, detect_outliers=outliers)
         domains = rng.choice([("abay",), balancer_sample.FAILURE_DOMAINS])
         balancer_sample.add_agents(context, rng.randrange(1, 60), domains)
         make_uneven(context, rng)
+        if rng.random() < 0.3:
+            context.core.update_evacuations(context.now, [rng.choice(domains)])
         for part in range(3):
             context.now += rng.choice([0.02, 0.3, 0.6])
             chosen = [x for x in context.hosts if rng.random() < 0.5]
@@ -418,6 +494,12 @@
         assert f"reason={reason} " in events[0].detail + " ", events
 
 
+@then("a real opening is ignored")
+def is_ignored(context):
+    key = balancer_sample.flow_key(FIRST_PORT)
+    assert context.core.on_segment(context.now, opening(key)) == []
+
+
 @then("all {count:d} agents are possible, without a probability")
 def all_possible(context, count):
     (service,) = context.found.services
@@ -458,7 +540,8 @@
 @then('its explanation has status {status:d} and names "{text}"')
 def explanation_status(context, status, text):
     arguments = {"caller": [b"1.2.3.4:5"], "address": [b"198.18.0.1:443"]}
-    found = forward_balancer.explain(context.core, 1.0, arguments)
+    now = getattr(context, "now", 1.0)
+    found = forward_balancer.explain(context.core, now, arguments)
     assert found[0] == status and text in found[1].decode(), found
 
 
--- a/features/steps/holder_lookup_steps.py
+++ b/features/steps/holder_lookup_steps.py
@@ -214,7 +214,12 @@
 
 @then("they all go to the agent that was offered the flow")
 def to_offered(context):
-    sent = [balancer_sample.host_at(context, o.to) for o in context.outs]
+    # A sample of the time since the offer comes with the first segment only.
+    outs = list(context.outs)
+    if not context.acknowledged:
+        assert isinstance(outs.pop(0), outputs.Timing), context.outs
+        context.acknowledged = True
+    sent = [balancer_sample.host_at(context, o.to) for o in outs]
     assert set(sent) == set(context.offered) and len(sent) == 20, sent
 
 
