--- a/crocusmux/core/forward/balancer.py
+++ b/crocusmux/core/forward/balancer.py
@@ -8,6 +8,7 @@
 from crocusmux.core.forward import agent_table
 from crocusmux.core.forward import chooser
 from crocusmux.core.forward import evacuations
+from crocusmux.core.forward import explanation
 from crocusmux.core.forward import flow_table
 from crocusmux.core.forward import hedging
 from crocusmux.core.forward import holder_resolver
@@ -44,11 +45,6 @@
 OPENING_TIMEOUT_S = 0.15
 # Upstreams to which a new flow is offered in one turn.
 MAX_OFFERS = 3
-# Reasons of refusals: the service has no upstreams that live, or those that live
-# are evacuated, or none had a free slot in time.
-REFUSED_NO_UPSTREAM = "no-upstream"
-REFUSED_EVACUATED = "evacuated"
-REFUSED_LATE = "no-upstream-in-time"
 # Decline reasons that may pass before the caller gives up.
 TRANSIENT_REASONS = (
     reports.DECLINED_OVERLOAD,
@@ -111,7 +107,7 @@
             self.agent_table,
             failure_domain,
             rng,
-            self.evacuated,
+            self.evacuated.names,
             assume_mean=detect_outliers,
         )
         self._resolver = holder_resolver.HolderResolver(
@@ -194,11 +190,9 @@
         for pending in self._openings.all():
             if pending.flow.offered_hosts:
                 continue
-            agents = self.agent_table.for_services((pending.flow.service,))
-            if self._refusal_reason(now, agents) == REFUSED_EVACUATED:
-                sent += self._refuse_flow(
-                    pending.key, pending.flow, REFUSED_EVACUATED
-                )
+            reason = self._chooser.refusal_reason(now, pending.flow.service)
+            if reason == chooser.REFUSED_EVACUATED:
+                sent += self._refuse_flow(pending.key, pending.flow, reason)
         return sent
 
     def ready(self) -> bool:
@@ -210,6 +204,19 @@
             return self.agent_table.complete
         return any(upstream.report is not None for upstream in agents)
 
+    def explain(self, now: float, key: bytes) -> explanation.Explanation:
+        """Explains where a new flow would be placed; changes nothing."""
+        return explanation.explain(
+            now,
+            key,
+            self.routes,
+            self.agent_table,
+            self._chooser,
+            self._openings,
+            self.flows.get(key),
+            self.evacuated,
+        )
+
     def on_segment(self, now: float, seg: segments.Segment) -> Outputs:
         """Forwards, queues or refuses a caller's segment."""
         flow = self.flows.get(seg.key)
@@ -287,7 +294,7 @@
             return []
         route = self.routes.find_route(seg.key)
         if route is None:
-            return self._refuse(seg.key, "no-route")
+            return self._refuse(seg.key, routes.REFUSED_NO_ROUTE)
         self._hedging.bucket.add_opening()
         flow = self.flows.add(now, seg.key)
         flow.service = route.pick_service(self._rng.random())
@@ -408,9 +415,9 @@
             return [holder_resolver.to_agent(seg, upstream)] if upstream else []
         route = self.routes.find_route(seg.key)
         agents = self.agent_table.for_services((flow.service,))
-        reason = REFUSED_NO_UPSTREAM
+        reason = chooser.REFUSED_NO_UPSTREAM
         if route is not None:
-            reason = self._refusal_reason(now, agents)
+            reason = self._chooser.refusal_reason(now, flow.service)
             queued = seg.key in self._openings
             pending = openings.PendingOpening(seg.key, flow, route)
             if not reason and self._openings.add(now, pending):
@@ -421,21 +428,8 @@
             # could follow a request that runs.
             self._openings.remove(seg.key)
             return []
-        return self._refuse_flow(seg.key, flow, reason or REFUSED_LATE)
-
-    def _refusal_reason(
-        self, now: float, agents: agent_table.ServiceAgents
-    ) -> str:
-        """Returns why no agent of a service will accept a flow, or ""."""
-        if not self.agent_table.complete:
-            return ""
-        evacuated = False
-        for upstream in agents:
-            if upstream.record.failure_domain in self.evacuated:
-                evacuated = True
-            elif not upstream.lost(now):
-                return ""
-        return REFUSED_EVACUATED if evacuated else REFUSED_NO_UPSTREAM
+        reason = reason or openings.REFUSED_TOO_LATE
+        return self._refuse_flow(seg.key, flow, reason)
 
     def _refuse_flow(
         self, key: bytes, flow: flow_table.Flow, reason: str
@@ -572,7 +566,7 @@
             # An evacuated upstream may have accepted a flow offered to it.
             if not pending.flow.offered_hosts:
                 sent += self._refuse_flow(
-                    pending.key, pending.flow, REFUSED_LATE
+                    pending.key, pending.flow, openings.REFUSED_TOO_LATE
                 )
         sent += self._place_pending(now)
         sent += self.send_due_hedges(now)
--- a/crocusmux/core/forward/evacuations.py
+++ b/crocusmux/core/forward/evacuations.py
@@ -8,20 +8,24 @@
 
     Without ``expect_list`` they count as known, as no domain is ever evacuated
     in a deployment that does not use evacuations.
+
+    Attributes:
+        names: The domains; always the same set, so that the choice of an
+            upstream looks them up without a call.
     """
 
-    __slots__ = ("_expected_until", "_names")
+    __slots__ = ("_expected_until", "names")
 
     def __init__(self) -> None:
         """Creates an empty set that is known."""
-        self._names: set[str] = set()
+        self.names: set[str] = set()
         self._expected_until = float("-inf")
 
     def __contains__(self, domain: object) -> bool:
-        return domain in self._names
+        return domain in self.names
 
     def __iter__(self) -> Iterator[str]:
-        return iter(self._names)
+        return iter(self.names)
 
     def expect_list(self, until: float) -> None:
         """Counts the set as unknown until a list arrives or a time, seconds."""
@@ -45,10 +49,12 @@
             The domains whose evacuation begins, and those where it ends.
         """
         self._expected_until = float("-inf")
-        before = self._names
-        kept = set() if full else before.difference(removed)
-        self._names = kept.union(domains)
-        return sorted(self._names - before), sorted(before - self._names)
+        before = self.names.copy()
+        if full:
+            self.names.clear()
+        self.names.difference_update(removed)
+        self.names.update(domains)
+        return sorted(self.names - before), sorted(before - self.names)
 
 
 def check_domain(name: str) -> None:
--- a/crocusmux/core/forward/selection.py
+++ b/crocusmux/core/forward/selection.py
@@ -47,24 +47,76 @@
         mean_density: Flow density of the whole service.
         assumed_ms: Service time of upstreams whose own is unknown, ms.
     """
+    preferred, others = split_by_excess(local, mean_density, assumed_ms)
+    sample = sample_by_capacity(preferred, rng, assumed_ms)
+    if not any(has_room(upstream, assumed_ms) for upstream in sample):
+        others += find_remote()
+        sample += sample_by_capacity(others, rng, assumed_ms)
+    return cheapest(sample, failure_domain, mean_density, assumed_ms)
+
+
+def choice_probabilities(
+    local: Sequence[upstreams.Upstream],
+    find_remote: Callable[[], Sequence[upstreams.Upstream]],
+    failure_domain: str,
+    mean_density: float,
+    assumed_ms: float = DEFAULT_SERVICE_MS,
+) -> dict[str, float]:
+    """Returns the hosts that ``choose`` may return, with their probability.
+
+    Visits all possible samples, so it is meant for few upstreams.  The
+    arguments are those of ``choose``; the dictionary is empty without
+    candidates.
+    """
+    preferred, others = split_by_excess(local, mean_density, assumed_ms)
+    remote: Sequence[upstreams.Upstream] | None = None
+    found: dict[str, float] = {}
+    for first, weight in possible_samples(preferred, assumed_ms):
+        possible = [(first, weight)]
+        if not any(has_room(upstream, assumed_ms) for upstream in first):
+            remote = find_remote() if remote is None else remote
+            possible = [
+                (first + second, weight * second_weight)
+                for second, second_weight in possible_samples(
+                    [*others, *remote], assumed_ms
+                )
+            ]
+        for sample, probability in possible:
+            chosen = cheapest(sample, failure_domain, mean_density, assumed_ms)
+            if chosen is not None:
+                host = chosen.record.host
+                found[host] = found.get(host, 0.0) + probability
+    return found
+
+
+def split_by_excess(
+    local: Sequence[upstreams.Upstream],
+    mean_density: float,
+    assumed_ms: float = DEFAULT_SERVICE_MS,
+) -> tuple[list[upstreams.Upstream], list[upstreams.Upstream]]:
+    """Returns the upstreams without excess flows, and those with them."""
     preferred: list[upstreams.Upstream] = []
     others: list[upstreams.Upstream] = []
     for upstream in local:
         excess = flow_excess(upstream, mean_density, assumed_ms)
         has_excess = excess > MAX_EXCESS
         (others if has_excess else preferred).append(upstream)
-    sample = sample_by_capacity(preferred, rng, assumed_ms)
-    if not any(has_room(upstream, assumed_ms) for upstream in sample):
-        others += find_remote()
-        sample += sample_by_capacity(others, rng, assumed_ms)
-    if not sample:
-        return None
+    return preferred, others
+
+
+def cheapest(
+    sample: Sequence[upstreams.Upstream],
+    failure_domain: str,
+    mean_density: float,
+    assumed_ms: float = DEFAULT_SERVICE_MS,
+) -> upstreams.Upstream | None:
+    """Returns the upstream of a sample with the lowest cost; None if empty."""
 
     def cost(upstream: upstreams.Upstream) -> float:
         excess = max(1.0, flow_excess(upstream, mean_density, assumed_ms))
         return excess * answer_time_ms(upstream, failure_domain, assumed_ms)
 
-    return min(sample, key=cost)
+    return min(sample, key=cost, default=None)
 
 
 def mean_service_ms(reported: Sequence[upstreams.Upstream]) -> float:
@@ -137,6 +189,25 @@
     return [first, *rng.choices(others, weights)]
 
 
+def possible_samples(
+    usable: Sequence[upstreams.Upstream],
+    assumed_ms: float = DEFAULT_SERVICE_MS,
+) -> list[tuple[list[upstreams.Upstream], float]]:
+    """Returns each sample of ``sample_by_capacity`` with its probability."""
+    if len(usable) <= SAMPLE_SIZE:
+        return [(list(usable), 1.0)]
+    total = sum(capacity(x, assumed_ms) for x in usable)
+    samples = []
+    for first in usable:
+        others = [x for x in usable if x is not first]
+        left = sum(capacity(x, assumed_ms) for x in others)
+        share = capacity(first, assumed_ms) / total
+        for second in others:
+            weight = share * capacity(second, assumed_ms) / left
+            samples.append(([first, second], weight))
+    return samples
+
+
 def capacity(
     upstream: upstreams.Upstream, assumed_ms: float = DEFAULT_SERVICE_MS
 ) -> float:
--- a/crocusmux/core/forward/upstreams.py
+++ b/crocusmux/core/forward/upstreams.py
@@ -33,6 +33,16 @@
 # a second is admitted later than that, but another balancer may get it.
 WARMUP_BACKOFF_S = 0.1
 
+# Reasons for which an upstream gets no new flows.
+EXCLUDED_NO_REPORT = "no-report"
+EXCLUDED_SILENT = "silent"
+EXCLUDED_LOST = "lost"
+EXCLUDED_NOT_ACCEPTING = "not-accepting"
+EXCLUDED_AVOIDED = "avoided"
+EXCLUDED_BACKING_OFF = "backing-off"
+# The failure domain is evacuated; the balancer judges this, not the upstream.
+EXCLUDED_EVACUATED = "evacuated"
+
 
 class AgentRecord(msgspec.Struct, frozen=True):
     """An agent's announcement in the store.
@@ -123,6 +133,9 @@
         """Returns True if several reports are missing."""
         if self.report is None:
             return True
+        # Most agents have a recent report, and each opening asks for many.
+        if now - self.reported_at < MIN_SILENT_S:
+            return False
         interval_s = self.report.interval_s
         limit_s = min(
             SILENT_INTERVALS * interval_s,
@@ -153,13 +166,22 @@
 
     def accepts(self, now: float) -> bool:
         """Returns True if the agent reports and accepts new flows."""
-        return (
-            self.report is not None
-            and self.report.accepting
-            and not self.silent(now)
-            and not self.avoided
-            and self.backoff_until <= now
-        )
+        return not self.exclusion(now)
+
+    def exclusion(self, now: float) -> str:
+        """Returns why the upstream gets no new flows; empty if it gets some.
+
+        The reason is one of the ``EXCLUDED`` constants.
+        """
+        if self.silent(now):
+            if self.lost(now):
+                return EXCLUDED_LOST
+            return EXCLUDED_SILENT if self.report else EXCLUDED_NO_REPORT
+        if self.report is None or not self.report.accepting:
+            return EXCLUDED_NOT_ACCEPTING
+        if self.avoided:
+            return EXCLUDED_AVOIDED
+        return EXCLUDED_BACKING_OFF if self.backoff_until > now else ""
 
 
 def service_tag(service: str) -> int:
