Share the segment builder of the agent's tests

The samples of outlier detection and the agent's steps built segments by the same code; both now use features/upstream_sample. No behaviour changes.

--- a/features/steps/forward_agent_steps.py
+++ b/features/steps/forward_agent_steps.py
@@ -9,6 +9,7 @@
 from crocusmux.core.forward import segments
 from crocusmux.core.forward import upstreams
 from features import balancer_sample
+from features import upstream_sample
 from features.steps import heartbeats_steps
 
 BALANCER = ("10.0.0.9", 7720)
@@ -16,24 +17,7 @@
 # Heads of IP and UDP, bytes.
 UDP_BYTES = 28
 
-
-def segment(key, from_caller=True, **changes):
-    values = {
-        "key": key,
-        "from_caller": from_caller,
-        "opening": False,
-        "acknowledges": True,
-        "final": False,
-        "reset": False,
-        "returned": False,
-        "seq": 1000,
-        "ack": 5001,
-        "length": 0,
-        "service_tag": upstreams.service_tag("rounds"),
-        "mark": segments.MARK_DIRECT,
-        "data": b"",
-    }
-    return segments.Segment(**{**values, **changes})
+segment = upstream_sample.make_segment
 
 
 def from_balancer(context, seg):
