Count a close that overtakes the answer's data as the answer

Cause: an upstream's close arrives before the data that were sent before it. The agent took it for the end of a request without an answer.

The scenarios "A close that arrives before the answer's data counts as the answer" and "Closes that arrive before the answers' data are no failures" failed before.

An agent now knows where the upstream's data end, and a close beyond that end shows that an answer is under way. A close at the end is still no answer.

--- a/crocusmux/core/forward/agent.py
+++ b/crocusmux/core/forward/agent.py
@@ -214,10 +214,9 @@
         if seg.length == 0:
             return
         end = (seg.seq + seg.length) % segments.SEQUENCE_MODULUS
-        if flow.request_end is not None:
-            ahead = (end - flow.request_end) % segments.SEQUENCE_MODULUS
-            if ahead == 0 or ahead > segments.SEQUENCE_MODULUS // 2:
-                return
+        known_end = flow.request_end
+        if known_end is not None and not segments.is_after(end, known_end):
+            return
         flow.request_end = end
         # More data follows a full segment.  An upload takes a slot only once
         # the upstream has received all of it.
@@ -283,9 +282,12 @@
                 sent.append(outputs.ToPeer(flow.balancer, claim))
         if seg.opening:
             flow.upstream_isn = seg.seq
+            if flow.upstream_end is None:
+                flow.upstream_end = (seg.seq + 1) % segments.SEQUENCE_MODULUS
         else:
             flow.upstream_sent = True
-        if seg.length and flow.request_began_at:
+        answers = _carries_answer(seg, flow)
+        if answers and flow.request_began_at:
             answer_s = now - flow.request_began_at
             sent.append(outputs.Timing(outputs.ANSWERED, answer_s))
             self._end_request(now, flow, answered=True)
@@ -567,3 +569,20 @@
 
     def _make_denial(self, key: bytes, balancer: Address) -> outputs.ToPeer:
         return outputs.ToPeer(balancer, reports.FlowDenied(self._host, key))
+
+
+def _carries_answer(seg: segments.Segment, flow: agent_flows.Flow) -> bool:
+    """Returns True if an upstream's segment shows data of an answer.
+
+    Segments may arrive in another order than they were sent, so a close may come
+    before the data that precede it.
+    """
+    if not seg.length and not seg.final:
+        return False
+    known_end = flow.upstream_end
+    end = (seg.seq + seg.length) % segments.SEQUENCE_MODULUS
+    if known_end is None or segments.is_after(end, known_end):
+        flow.upstream_end = end
+    if seg.length:
+        return True
+    return known_end is not None and segments.is_after(end, known_end)
--- a/crocusmux/core/forward/agent_flows.py
+++ b/crocusmux/core/forward/agent_flows.py
@@ -11,6 +11,8 @@
         upstream_isn: Sequence number of the upstream's SYN+ACK; None before.
         open: True once the caller has acknowledged this SYN+ACK, or the
             upstream has confirmed that it holds the flow.
+        upstream_end: Sequence number after the upstream's newest data; None
+            while it is unknown.
         upstream_sent: True once the upstream has sent more than its SYN+ACK.
         probing: True while the agent probes the upstream for the flow.
         closing: True once either end has closed or reset the flow.
@@ -31,6 +33,7 @@
         "request_began_at",
         "request_end",
         "request_queued",
+        "upstream_end",
         "upstream_isn",
         "upstream_sent",
     )
@@ -38,6 +41,7 @@
     def __init__(self, now: float, balancer: Address) -> None:
         self.balancer = balancer
         self.upstream_isn: int | None = None
+        self.upstream_end: int | None = None
         self.open = False
         self.upstream_sent = False
         self.probing = False
--- a/crocusmux/core/forward/segments.py
+++ b/crocusmux/core/forward/segments.py
@@ -68,6 +68,12 @@
     return f"{caller}:{caller_port}>{route}:{route_port}"
 
 
+def is_after(first: int, second: int) -> bool:
+    """Returns True if a sequence number is later than another one."""
+    ahead = (first - second) % SEQUENCE_MODULUS
+    return 0 < ahead <= SEQUENCE_MODULUS // 2
+
+
 def acknowledges_syn_ack(ack: int, syn_ack_seq: int) -> bool:
     """Returns True if ``ack`` acknowledges only the upstream's SYN+ACK.
 
--- a/features/forward_agent.feature
+++ b/features/forward_agent.feature
@@ -144,6 +144,31 @@
     Then no request is in progress
     And the mean service time is between 39 and 41 ms
 
+  # Guards against answers that are not sampled and count as failures: an
+  # upstream's close overtakes the data before it (karigar-haat-grown, where each
+  # request has a flow of its own).
+  Scenario: A close that arrives before the answer's data counts as the answer
+    Given an agent of rounds whose upstream is ready
+    When 10 flows with a request each are open
+    And the closes of all their answers arrive after 40 ms, before the data
+    Then no request is in progress
+    And the mean service time is between 39 and 41 ms
+
+  # Guards against healthy upstreams that are logged and avoided as outliers.
+  Scenario: Closes that arrive before the answers' data are no failures
+    Given an agent of rounds with outlier detection whose upstream is ready
+    When 2 flows with a request each are open
+    And the closes of all their answers arrive after 40 ms, before the data
+    Then the reported service time is 40 ms and no outlier is logged
+
+  # Guards against closes without any answer that count as answers.
+  Scenario: A close without data before it is no answer
+    Given an agent of rounds whose upstream is ready
+    When 10 flows with a request each are open
+    And the upstream closes all of them after 40 ms without an answer
+    Then no request is in progress
+    And the mean service time is unknown
+
   # Guards against unfinished uploads that count as overload: agents declined
   # 796 offers while 1,513 were made and 12 slots were nearly idle (grown
   # deployment, scale-1, one failure domain, 28 s).
--- a/features/steps/forward_agent_steps.py
+++ b/features/steps/forward_agent_steps.py
@@ -45,9 +45,11 @@
 
 
 @given("an agent of rounds without a heartbeat")
-def new_agent(context):
+def new_agent(context, detect_outliers=False):
     context.now = 100.0
-    context.core = agent.ForwardingAgent("side-1", "rounds", 7, 1.2)
+    context.core = agent.ForwardingAgent(
+        "side-1", "rounds", 7, 1.2, detect_outliers=detect_outliers
+    )
     context.key = balancer_sample.flow_key(40001)
     context.outs = []
     context.core.on_subscribe(
@@ -55,9 +57,14 @@
     )
 
 
+@given("an agent of rounds with outlier detection whose upstream is ready")
+def detecting_agent(context):
+    ready_agent(context, detect_outliers=True)
+
+
 @given("an agent of rounds whose upstream is ready")
-def ready_agent(context):
-    new_agent(context)
+def ready_agent(context, detect_outliers=False):
+    new_agent(context, detect_outliers)
     beat = heartbeats_steps.heartbeat(BORN_MS, 1)
     context.core.on_heartbeat(context.now, beat)
 
@@ -217,6 +224,36 @@
         from_upstream(context, segment(key, False, length=500))
 
 
+def close_all(context, ms, seq):
+    context.now += ms / 1000
+    for key in context.keys:
+        from_upstream(context, segment(key, False, final=True, seq=seq))
+
+
+@when("the closes of all their answers arrive after {ms:d} ms, before the data")
+def close_before_data(context, ms):
+    close_all(context, ms, 5001 + 500)
+    for key in context.keys:
+        from_upstream(context, segment(key, False, length=500, seq=5001))
+
+
+@when("the upstream closes all of them after {ms:d} ms without an answer")
+def close_without_answer(context, ms):
+    close_all(context, ms, 5001)
+
+
+@then("the reported service time is {ms:d} ms and no outlier is logged")
+def no_outlier(context, ms):
+    events = context.core.on_timer(context.now + 0.05)
+    assert not [x for x in events if isinstance(x, outputs.Event)], events
+    assert round(context.core.load.reported_service_ms()) == ms
+
+
+@then("the mean service time is unknown")
+def service_time_unknown(context):
+    assert context.core.load.service_ms == 0.0
+
+
 @when("the first request is retransmitted")
 def retransmit_request(context):
     from_balancer(context, segment(context.keys[0], length=100))
