Pace uploads on thin links, so that small requests do not wait behind them

Cause: 14 of 20 entry hosts have links of 5 Mbit/s. Uploads of 80 KB, sent with 16 segments in flight each, filled the queues of these links, and the requests of all other callers waited behind them.

A balancer on a link of up to 50 Mbit/s sends full segments at 0.8 of it and queues the others; other segments pass, and a flow's data stay in order. As callers wait for acknowledgements, the queue moves from the link to the balancer. The bandwidth is that of the settings; without it nothing changes.

--- a/crocusmux/daemons/forward_balancer.py
+++ b/crocusmux/daemons/forward_balancer.py
@@ -17,6 +17,7 @@
 from crocusmux.core.forward import evacuations
 from crocusmux.core.forward import explanation
 from crocusmux.core.forward import outputs
+from crocusmux.core.forward import pacing
 from crocusmux.core.forward import reports
 from crocusmux.core.forward import routes
 from crocusmux.core.forward import segments
@@ -91,6 +92,8 @@
         self._knows_former_services = cfg.first_start
         self._list_task: asyncio.Task | None = None
         self._hedge_timer: asyncio.TimerHandle | None = None
+        self._pacer = pacing.BulkPacer(cfg.link_mbps)
+        self._pace_timer: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task] = set()
         self._fetch_http = http.make_fetch()
         self._messenger = forward.Messenger(
@@ -149,8 +152,12 @@
         await asyncio.sleep(min(DRAIN_S, self._cfg.grace_s / 2))
         for task in list(self._tasks):
             task.cancel()
-        if self._hedge_timer is not None:
-            self._hedge_timer.cancel()
+        for timer in (self._hedge_timer, self._pace_timer):
+            if timer is not None:
+                timer.cancel()
+        # A burst on the link is better than retransmissions by callers.
+        for output in self._pacer.pop_all():
+            self._send_to_agent(output)
 
     def _on_segment(
         self, seg: segments.Segment, sender: forwarding.Address
@@ -181,18 +188,40 @@
         self._execute(self.core.send_due_hedges(self._loop.time()))
         self._schedule_hedges()
 
+    def _send_to_agent(self, output: outputs.ToAgent) -> None:
+        data = self._adapter.encode_segment(
+            output.segment, output.service_tag, output.mark
+        )
+        self._messenger.socket.send(data, output.to)
+
+    def _send_paced(self) -> None:
+        """Sends the bulk segments that are due, and schedules the next ones."""
+        self._pace_timer = None
+        for output in self._pacer.pop_due(self._loop.time()):
+            self._send_to_agent(output)
+        self._schedule_paced()
+
+    def _schedule_paced(self) -> None:
+        if self._pace_timer is None and self._pacer:
+            self._pace_timer = self._loop.call_later(
+                self._pacer.next_due_in_s(), self._send_paced
+            )
+
     def _execute(self, actions: list[outputs.Output]) -> None:
         for output in actions:
             if isinstance(output, outputs.ToAgent):
-                data = self._adapter.encode_segment(
-                    output.segment, output.service_tag, output.mark
-                )
-                self._messenger.socket.send(data, output.to)
+                if not self._pacer.enabled or self._pacer.admit(
+                    self._loop.time(), output
+                ):
+                    self._send_to_agent(output)
+                else:
+                    self._schedule_paced()
             elif isinstance(output, outputs.Event):
                 self._messenger.record_event(output)
             elif isinstance(output, outputs.ToPeer):
                 self._messenger.send(output.message, output.to)
             elif isinstance(output, outputs.Reset):
+                self._pacer.discard(output.key)
                 self._send_reset(output)
             elif isinstance(output, outputs.Timing):
                 self._messenger.metrics.observe_duration(output)
@@ -353,6 +382,9 @@
             self._execute(self.core.on_timer(now))
             self._schedule_hedges()
             self._check_staleness(now)
+            event = self._pacer.pop_event(now)
+            if event is not None:
+                self._messenger.record_event(event)
             await asyncio.sleep(balancer.TIMER_INTERVAL_S)
 
     def _check_staleness(self, now: float) -> None:
--- a/crocusmux/flow_trace.py
+++ b/crocusmux/flow_trace.py
@@ -26,6 +26,8 @@
         "evacuation-ended",
         "history-gone",
         "left-out",
+        "pacing",
+        "pacing-ended",
         "start",
         "stop",
         "store-back",
--- a/crocusmux/forwarding.py
+++ b/crocusmux/forwarding.py
@@ -37,6 +37,8 @@
         service: Service of the upstream beside an agent.
         upstream: Address of that upstream for segments.
         outbound: Address of the agent to which that upstream sends segments.
+        link_mbps: Bandwidth of the host's link, megabits per second; 0 if it is
+            unknown or without limit.
         hedge_share: Limit of a balancer's hedged openings as a share of all
             openings, 0 to 1; 0 disables hedging.
         detect_outliers: True to avoid upstreams that fail part of their
@@ -62,6 +64,7 @@
     upstream: Address = ("", 0)
     outbound: Address = ("", 0)
     hedge_share: float = 0.0
+    link_mbps: float = 0.0
     detect_outliers: bool = False
 
 
--- a/crocusmux/platform/host_settings.py
+++ b/crocusmux/platform/host_settings.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 import math
 import pathlib
-from typing import Literal
+from typing import Annotated, Literal
 
 import msgspec
 
@@ -36,6 +36,11 @@
     evacuate_ms: float | None = None
 
 
+class _HostLimits(msgspec.Struct):
+    # Bandwidth of the host's link; 0 or None if it is unknown.
+    link_mbps: Annotated[float, msgspec.Meta(ge=0)] | None = None
+
+
 class _Platform(msgspec.Struct):
     address: str
 
@@ -57,6 +62,7 @@
     service: str = ""
     app: str = ""
     contracts: list[str] = []
+    limits: _HostLimits | None = None
 
 
 def load(path: str) -> forwarding.HostSettings:
@@ -119,10 +125,12 @@
     agent = fields.machine_class == "side"
     if agent and not (fields.service and fields.app and listen.outbound):
         raise ValueError("service, app or listen.outbound is missing")
+    limits = fields.limits or _HostLimits()
     return forwarding.HostSettings(
         role="agent" if agent else "balancer",
         host=fields.node_name,
         failure_domain=fields.zone,
+        link_mbps=limits.link_mbps or 0.0,
         segments=packets,
         caller_port=packets[1],
         readiness=addresses.split(listen.readiness),
--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -109,6 +109,21 @@
       | app           | "nowhere"               | nowhere       |
       | service       | missing                 | service       |
       | bounds        | {"evacuate_ms": "soon"} | evacuate_ms   |
+      | limits        | {"link_mbps": -1}       | link_mbps     |
+      | limits        | {"link_mbps": -1e-9}    | link_mbps     |
+      | limits        | {"link_mbps": "5"}      | link_mbps     |
+      | limits        | {"link_mbps": true}     | link_mbps     |
+
+  # Guards against a start with a bandwidth that JSON does not have.
+  Scenario Outline: A bandwidth that is no finite number is rejected
+    Given settings of a side machine with the text "link_mbps": <value>
+    Then they are refused with an error that names <word>
+
+    Examples:
+      | value    | word      |
+      | NaN      | JSON      |
+      | Infinity | JSON      |
+      | 1e999    | link_mbps |
 
   # Guards against a failed start with the settings of a newer platform.
   Scenario: Unknown fields of the settings are ignored
@@ -129,6 +144,23 @@
       | {"grace_s": 6, "evacuate_ms": 5000} | enabled  |
       | {"evacuate_ms": 0.5}                | enabled  |
 
+  # Guards against pacing in deployments that do not state the bandwidth of the
+  # link, and against a stated one without effect.
+  Scenario Outline: The bandwidth of the link is read from the settings
+    Given settings of a side machine in which limits is <value>
+    Then the bandwidth of the link is <mbps> Mbit/s
+
+    Examples:
+      | value                           | mbps |
+      | missing                         | 0    |
+      | null                            | 0    |
+      | {}                              | 0    |
+      | {"cores": 0.3}                  | 0    |
+      | {"link_mbps": null}             | 0    |
+      | {"link_mbps": 0}                | 0    |
+      | {"link_mbps": 5}                | 5    |
+      | {"link_mbps": 2.5, "cores": 1}  | 2.5  |
+
   # Guards against lists that end after the first page.
   Scenario: All pages of a list are read
     Given a store with 8 objects
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -324,6 +324,7 @@
         "app": "10.1.0.13:8165",
         "service": "rounds",
         "contracts": [],
+        "limits": {},
         "platform": {"address": "10.200.1.7:8169"},
     }
     if value == "missing":
@@ -333,6 +334,14 @@
     context.settings = json.dumps(settings).encode()
 
 
+@given('settings of a side machine with the text "link_mbps": {value}')
+def side_settings_text(context, value):
+    side_settings(context, "limits", '{"link_mbps": 0}')
+    context.settings = context.settings.replace(
+        b'"link_mbps": 0', f'"link_mbps": {value}'.encode()
+    )
+
+
 @then("they are refused with an error that names {word}")
 def settings_rejected(context, word):
     try:
@@ -356,6 +365,11 @@
     assert cfg.evacuations == (state == "enabled")
 
 
+@then("the bandwidth of the link is {mbps:g} Mbit/s")
+def check_link(context, mbps):
+    assert host_settings.decode(context.settings).link_mbps == mbps
+
+
 @given("a store with {count:d} objects")
 def store_with(context, count):
     context.loop = event_loop.PausedLoop()
