--- a/crocusmux/core/forward/agent.py
+++ b/crocusmux/core/forward/agent.py
@@ -20,10 +20,11 @@
 SILENT_AFTER_S = 0.1
 # Time from silent to dead, if a heartbeat is missing as well.
 DEAD_AFTER_S = 0.5
-# Time without a segment after which a flow is forgotten, while no balancer has
-# told a longer idle timeout.
-FLOW_IDLE_TIMEOUT_S = 20.0
-# Time for which a flow is kept beyond its idle timeout.
+# Shortest time without a segment after which a flow is forgotten; longer if the
+# configured idle timeout and its slack are longer.
+MIN_FLOW_IDLE_S = 20.0
+# Time for which a flow is kept beyond the configured idle timeout, as segments
+# arrive late.
 IDLE_SLACK_S = 5.0
 MAX_FLOWS = 20_000
 # Time for which the agent itself denies a flow whose segment the upstream
@@ -286,7 +287,7 @@
                 flow.upstream_end = (seg.seq + 1) % segments.SEQUENCE_MODULUS
         else:
             flow.upstream_sent = True
-        answers = _carries_answer(seg, flow)
+        answers = _record_answer_data(seg, flow)
         if answers and flow.request_began_at:
             answer_s = now - flow.request_began_at
             sent.append(outputs.Timing(outputs.ANSWERED, answer_s))
@@ -488,7 +489,7 @@
 
     def _expire(self, now: float) -> None:
         idle_timeout_s = max(
-            FLOW_IDLE_TIMEOUT_S, self._subscribers.idle_s + IDLE_SLACK_S
+            MIN_FLOW_IDLE_S, self._subscribers.idle_s + IDLE_SLACK_S
         )
         for key, flow in list(self._flows.items()):
             if (
@@ -571,11 +572,11 @@
         return outputs.ToPeer(balancer, reports.FlowDenied(self._host, key))
 
 
-def _carries_answer(seg: segments.Segment, flow: agent_flows.Flow) -> bool:
-    """Returns True if an upstream's segment shows data of an answer.
+def _record_answer_data(seg: segments.Segment, flow: agent_flows.Flow) -> bool:
+    """Records the end of an upstream's data; returns True if it has answered.
 
-    Segments may arrive in another order than they were sent, so a close may come
-    before the data that precede it.
+    Segments may arrive in another order than they were sent.  A close whose
+    sequence number is beyond the known data shows that data precede it.
     """
     if not seg.length and not seg.final:
         return False
--- a/crocusmux/core/forward/balancer.py
+++ b/crocusmux/core/forward/balancer.py
@@ -169,7 +169,7 @@
             now: Time in seconds.
             domains: Evacuated failure domains.
             removed: Failure domains whose evacuation has ended.
-            full: True if all others are not evacuated.
+            full: True if ``domains`` is the complete list; False for changes.
         """
         begun, ended = self.evacuated.update(domains, removed, full)
         sent: Outputs = [
--- a/crocusmux/core/forward/evacuations.py
+++ b/crocusmux/core/forward/evacuations.py
@@ -43,7 +43,7 @@
         Args:
             domains: Evacuated failure domains.
             removed: Failure domains whose evacuation has ended.
-            full: True if all others are not evacuated.
+            full: True if ``domains`` is the complete list; False for changes.
 
         Returns:
             The domains whose evacuation begins, and those where it ends.
--- a/crocusmux/core/forward/explanation.py
+++ b/crocusmux/core/forward/explanation.py
@@ -100,8 +100,8 @@
     Attributes:
         route: Name of the route; empty without one.
         version: Version of the configuration in force.
-        outcome: str for the flow if it does not depend on the service;
-            None otherwise.
+        outcome: What happens to the flow if that does not depend on the
+            service; None otherwise.
         reason: Reason of that outcome.
         known_hosts: Hosts that hold the flow or were offered it, if the
             balancer knows a flow of these addresses already.  The explanation
--- a/crocusmux/core/forward/pacing.py
+++ b/crocusmux/core/forward/pacing.py
@@ -143,7 +143,7 @@
             self._queue = collections.deque(rest)
 
     def next_due_in_s(self) -> float:
-        """Returns the time from the last call until a queued segment is due.
+        """Returns the time from the last refill until a segment is due, seconds.
 
         It is infinite if none is queued.
         """
--- a/crocusmux/core/forward/upstream_health.py
+++ b/crocusmux/core/forward/upstream_health.py
@@ -10,7 +10,7 @@
 from crocusmux.core.forward import agent_flows
 from crocusmux.core.forward import outputs
 
-# Weight of a sample in the moving average of the service time.
+# Weight of a sample in the level, the moving average that is reported.
 SAMPLE_WEIGHT = 0.05
 # An unanswered request counts as a sample once it is older than this many mean
 # service times and than this time.  Slow answers of a healthy upstream take up
@@ -26,11 +26,13 @@
 # The earliest time at which callers give up.  Requests that are older may have
 # been abandoned, and their failure may be over, so their weight decays.
 ABANDONED_AFTER_S = 3.0
-# Answers in less than this share of the mean service time are fast.  Once this
-# many of the last ones were fast, fast answers count as failures.
+# Answers in less than this share of the mean service time are fast.
 FAST_SHARE = 1 / 8
+# Newest answers that are examined, and how many of them must be fast for fast
+# answers to count as failures.
 FAST_WINDOW = 20
 MIN_FAST = 4
+# The bits of the answers in the window.
 FAST_MASK = (1 << FAST_WINDOW) - 1
 # An answer up to this many mean service times is good.
 GOOD_MEANS = 2.0
@@ -46,7 +48,7 @@
 MEAN_S = 120.0
 # Larger samples count as this many mean service times for the mean.
 MAX_MEAN_SAMPLE = 3.0
-# The mean is at most this many times the moving average, which adapts within 20
+# The mean is at most this many times the level, which adapts within 20
 # answers if the upstream has become faster.
 MAX_MEAN_EXCESS = 1.5
 # Mean service time assumed before the first answer; with it a request is overdue
@@ -202,7 +204,8 @@
 
         Args:
             now: Time in seconds.
-            age_s: Time since the request began, seconds.
+            age_s: Time since the request got a slot, seconds; 0 if it had
+                none, or for a fast answer.
         """
         self._failures += 1
         mean_ms = self._mean_ms or ASSUMED_MEAN_MS
@@ -243,12 +246,12 @@
         # Failures before and between these answers keep their effect.
         self._level_ms = self._mean_ms + (1 - SAMPLE_WEIGHT) * excess_ms
 
-    def _on_fast_answer(self, now: float, answer_ms: float) -> None:
+    def _on_fast_answer(self, now: float, age_ms: float) -> None:
         if self._fast_bits.bit_count() < MIN_FAST:
             return
         if self._fast_bits == FAST_MASK:
             # Without any slower answer the upstream may in fact be faster.
-            self._update_mean(now, answer_ms)
+            self._update_mean(now, age_ms)
         self._record_failure(now, 0.0)
 
     def _on_answer(self, now: float, answer_ms: float) -> None:
@@ -280,7 +283,7 @@
         self._decayed_at = now
 
     def _decay(self, now: float) -> None:
-        """Lets the excess over the mean decay for the time since the last."""
+        """Lets the level's excess over the mean decay since the last time."""
         excess_ms = self._level_ms - (self._mean_ms or ASSUMED_MEAN_MS)
         if excess_ms > 0:
             rest = math.exp((self._decayed_at - now) / DECAY_S)
--- a/crocusmux/daemons/follow.py
+++ b/crocusmux/daemons/follow.py
@@ -14,13 +14,13 @@
 # Longest watch that the store allows, as each call is billed.  Keep-alive
 # probes detect a dead connection sooner.
 WATCH_TIMEOUT_S = 30.0
-# Wait of a check, a stale watch beside the exact one.  The store may lose the
-# answer to a watch without an error, on a connection that stays open; a check
-# then sees the next change.  It costs a tenth of an exact call.  A check that is
-# lost as well ends a second after its wait, which is sooner than a change must be
-# in force after an outage.
+# Wait of a check: a cheap watch that may be some seconds late, beside the exact
+# watch.  It notices a change if the store loses the exact watch's answer without
+# closing the connection.
 CHECK_WAIT_S = 5.0
+# Delay after a check that failed.
 CHECK_RETRY_S = 1.0
+# Delay after a check without a change, in case the store does not wait.
 MIN_CHECK_GAP_S = 0.1
 # Longest wait between two attempts while the store fails.
 MAX_BACKOFF_S = 1.0
@@ -140,7 +140,6 @@
             if changes.revision < revision or not (
                 changes.items or changes.removed
             ):
-                # Guards against a store that answers at once.
                 await asyncio.sleep(MIN_CHECK_GAP_S)
                 continue
             logger.warning("event=watch-lost kind=%s", self._kind)
--- a/crocusmux/platform/configuration.py
+++ b/crocusmux/platform/configuration.py
@@ -27,7 +27,7 @@
 
 class _Service(msgspec.Struct):
     name: str
-    # Upstreams state the time left in their heartbeats.
+    # Not used, only checked: heartbeats state the time left.
     warmup_s: float = 0.0
     # Requests a second of an upstream that is warming up; 0 if unlimited.
     warmup_per_s: float = 0.0
