Take downloads for requests that may be repeated

The platform's pages count routes of the type download as idempotent; hedging left them out. The new scenario's row for downloads failed before; it passes now.

--- a/crocusmux/platform/configuration.py
+++ b/crocusmux/platform/configuration.py
@@ -5,6 +5,9 @@
 from crocusmux import errors
 from crocusmux.core.forward import routes
 
+# Types of routes whose requests may run more than once.
+IDEMPOTENT_TYPES = ("idempotent", "download")
+
 
 class _Share(msgspec.Struct):
     service: str
@@ -86,5 +89,5 @@
         timeout_s=route.timeout_ms / 1000,
         target_s=route.target_latency_ms / 1000,
         urgency=route.priority,
-        repeatable=route.type == "idempotent",
+        repeatable=route.type in IDEMPOTENT_TYPES,
     )
--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -227,3 +227,16 @@
   Scenario: A control message that is nested too deep is bad input
     When a control message that is nested 2000 deep arrives
     Then it is counted as bad input
+
+  # Guards against hedges of requests that may run only once, and against none for
+  # downloads, which may be repeated.
+  Scenario Outline: Only idempotent requests and downloads may be repeated
+    When a desired state has a route of type <type>
+    Then the requests of that route <may> be repeated
+
+    Examples:
+      | type           | may     |
+      | idempotent     | may     |
+      | download       | may     |
+      | non_idempotent | may not |
+      | upload         | may not |
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -543,3 +543,16 @@
 @then("it is counted as bad input")
 def counted_as_bad_input(context):
     assert context.metrics._events == {"bad-input": 1}
+
+
+@when("a desired state has a route of type {kind}")
+def state_with_type(context, kind):
+    state = desired_state()
+    state["routes"][0]["type"] = kind
+    spec = json.dumps(state).encode()
+    context.route = configuration.decode(spec).routes[0]
+
+
+@then("the requests of that route {may} be repeated")
+def check_repeatable(context, may):
+    assert context.route.repeatable == (may == "may")
