--- a/bench/control_traffic.py
+++ b/bench/control_traffic.py
@@ -26,6 +26,7 @@
 from crocusmux.core.forward import report_schedule
 from crocusmux.core.forward import reports
 from crocusmux.core.forward import routes
+from crocusmux.core.forward import subscriptions
 from crocusmux.core.forward import upstreams
 
 SERVICE = "wheelbook"
@@ -231,8 +232,8 @@
     """Measures an agent whose balancers renew their subscriptions."""
     core = make_agent(fleet)
     renewal_s = max(
-        balancer.SUBSCRIBE_INTERVAL_S,
-        fleet.agents / balancer.MAX_SUBSCRIPTIONS_PER_S,
+        subscriptions.SUBSCRIBE_INTERVAL_S,
+        fleet.agents / subscriptions.MAX_SUBSCRIPTIONS_PER_S,
     )
     rng = random.Random(2)
     next_renewal_at = [rng.random() * renewal_s for _ in range(fleet.balancers)]
--- a/crocusmux/core/forward/balancer.py
+++ b/crocusmux/core/forward/balancer.py
@@ -1,8 +1,6 @@
 """State machine of a forwarding balancer; the daemon does all I/O."""
 
 from collections.abc import Iterable
-import functools
-import math
 import random
 
 from crocusmux.core.forward import agent_table
@@ -14,27 +12,13 @@
 from crocusmux.core.forward import holder_resolver
 from crocusmux.core.forward import openings
 from crocusmux.core.forward import outputs
-from crocusmux.core.forward import report_schedule
 from crocusmux.core.forward import reports
 from crocusmux.core.forward import routes
 from crocusmux.core.forward import segments
+from crocusmux.core.forward import subscriptions
 from crocusmux.core.forward import upstreams
 
 TIMER_INTERVAL_S = 0.05
-# Interval between two subscriptions to an agent's reports; longer with many
-# agents, to keep to the limit of subscriptions.
-SUBSCRIBE_INTERVAL_S = 2.0
-MAX_SUBSCRIPTIONS_PER_S = 10
-# The same while a report is overdue, as a restarted agent has no subscribers.  It
-# is short at first, since after a loss of power flows wait for the first reports.
-MIN_RESUBSCRIBE_INTERVAL_S = 0.1
-MAX_RESUBSCRIBE_INTERVAL_S = 0.5
-# Time without a report after which the longer interval applies.
-FAST_RESUBSCRIBE_S = 3.0
-# Limit of these subscriptions in a large fleet without any reports.
-MAX_RESUBSCRIPTIONS_PER_S = 2_500
-# Validity of a subscription in subscribe intervals, as datagrams get lost.
-SUBSCRIPTION_INTERVALS = 5
 # Agents that are told of a new configuration at once.  Balancers tell different
 # ones, and each agent tells the balancers that lag.
 CONFIG_SPREAD_AGENTS = 16
@@ -97,9 +81,6 @@
         self.flows = flow_table.FlowTable()
         self.evacuated = evacuations.EvacuatedDomains()
         self.newest_config = (0, "")
-        self._host = host
-        self._address = address
-        self._config_source = config_source
         self._rng = rng
         self._openings = openings.OpeningQueue()
         self._hedging = hedging.Hedging(hedge_share)
@@ -113,9 +94,9 @@
         self._resolver = holder_resolver.HolderResolver(
             self.routes, self.agent_table, self.flows, self.evacuated
         )
-        self._next_subscribe_at = 0.0
-        self._next_resubscribe_at = 0.0
-        self._next_slow_resubscribe_at = 0.0
+        self._subscriptions = subscriptions.Subscriptions(
+            host, address, config_source, self.agent_table, self.routes
+        )
         self._next_expiry_at = 0.0
 
     def configure(self, cfg: routes.Configuration) -> Outputs:
@@ -131,7 +112,7 @@
             agents = self._rng.sample(agents, CONFIG_SPREAD_AGENTS)
         return [
             outputs.Event("configure", b"", detail, True),
-            *self._make_subscriptions(agents),
+            *self._subscriptions.make(agents),
         ]
 
     def add_agent(
@@ -147,7 +128,7 @@
         detail = f"agent={record.host} service={record.service}"
         return [
             outputs.Event("agent-added", b"", detail, True),
-            *self._make_subscriptions([upstream]),
+            *self._subscriptions.make([upstream]),
         ]
 
     def remove_agent(self, host: str) -> Outputs:
@@ -549,14 +530,7 @@
 
     def on_timer(self, now: float) -> Outputs:
         """Runs timeouts, queries and offers, every ``TIMER_INTERVAL_S``."""
-        sent: Outputs = []
-        if now >= self._next_subscribe_at:
-            self._next_subscribe_at = now + self._subscribe_interval_s()
-            self._schedule_resubscription(now)
-            sent += self._subscribe()
-        elif now >= self._next_resubscribe_at:
-            sent += self._resubscribe(now)
-            self._schedule_resubscription(now)
+        sent: Outputs = [*self._subscriptions.pop_due(now)]
         if now >= self._next_expiry_at:
             self._next_expiry_at = now + EXPIRY_INTERVAL_S
             idle_s = self.routes.idle_s + IDLE_SLACK_S
@@ -572,77 +546,6 @@
         sent += self.send_due_hedges(now)
         return sent
 
-    def _subscribe_interval_s(self) -> float:
-        agent_count = len(self.agent_table)
-        return max(SUBSCRIBE_INTERVAL_S, agent_count / MAX_SUBSCRIPTIONS_PER_S)
-
-    def _subscribe(self) -> Outputs:
-        return self._make_subscriptions(self.agent_table.all())
-
-    def _resubscribe(self, now: float) -> Outputs:
-        """Subscribes again to agents whose report is overdue."""
-        agents = self.agent_table.all()
-        overdue = [upstream for upstream in agents if upstream.overdue(now)]
-        if now >= self._next_slow_resubscribe_at:
-            self._next_slow_resubscribe_at = now + MAX_RESUBSCRIBE_INTERVAL_S
-        else:
-            overdue = [
-                upstream
-                for upstream in overdue
-                if upstream.silent_for_s(now) <= FAST_RESUBSCRIBE_S
-            ]
-        return self._make_subscriptions(overdue, report_now=True)
-
-    def _schedule_resubscription(self, now: float) -> None:
-        interval_s = len(self.agent_table) / MAX_RESUBSCRIPTIONS_PER_S
-        interval_s = max(interval_s, MIN_RESUBSCRIBE_INTERVAL_S)
-        self._next_resubscribe_at = now + min(
-            interval_s, MAX_RESUBSCRIBE_INTERVAL_S
-        )
-
-    def _make_subscriptions(
-        self, agents: Iterable[upstreams.Upstream], report_now: bool = False
-    ) -> Outputs:
-        table = self.agent_table
-        local_s, remote_s = report_schedule.report_intervals_s(
-            table.local_count(), len(table) - table.local_count()
-        )
-        # Whole seconds take fewer bytes.
-        valid_s = math.ceil(
-            SUBSCRIPTION_INTERVALS * self._subscribe_interval_s()
-        )
-
-        idle_s = math.ceil(self.routes.idle_s)
-
-        # Few different subscriptions go to many agents.
-        @functools.cache
-        def subscription(
-            is_local: bool, warmup_per_s: float
-        ) -> reports.Subscribe:
-            return reports.Subscribe(
-                self._host,
-                self._address,
-                self.routes.version,
-                self._config_source,
-                valid_s,
-                local_s if is_local else remote_s,
-                report_now,
-                compact=True,
-                warmup_per_s=warmup_per_s,
-                idle_s=idle_s,
-            )
-
-        return [
-            outputs.ToPeer(
-                upstream.record.control,
-                subscription(
-                    table.is_local(upstream.record),
-                    self.routes.warmup_per_s(upstream.record.service),
-                ),
-            )
-            for upstream in agents
-        ]
-
     def _place_event(
         self,
         now: float,
