Refuse heartbeats with numbers that no report can carry

Cause: the agent reports the upstream's slots to balancers, and LoadReport refuses numbers above 1e9 with an error that ended the agent's timer, and with it the process. The decoder of heartbeats accepted any number.

Change: the decoder limits every number: slots and the warm-up time left to 0 to 1e9, sequence and start to 63 bits. 0 slots still count as 1.

A heartbeat with the largest numbers is reported in both forms.

--- a/crocusmux/platform/upstream_calls.py
+++ b/crocusmux/platform/upstream_calls.py
@@ -1,7 +1,7 @@
 """Decodes the HTTP calls of an upstream to the agent on its host."""
 
 import re
-from typing import Literal
+from typing import Annotated, Literal
 
 import msgspec
 
@@ -9,20 +9,29 @@
 from crocusmux import forwarding
 from crocusmux import jsonlimits
 from crocusmux.core.forward import heartbeats
+from crocusmux.core.forward import reports
 
 _CALL_PATH = re.compile(r"/crocusmux/endpoints/([^/]+)/(heartbeat|deregister)")
 
+# The agent reports the slots to balancers, so a heartbeat with a number that a
+# load report cannot carry is malformed.
+_MAX_NUMBER = int(reports.MAX_NUMBER)
+_Count = Annotated[int, msgspec.Meta(ge=0, le=_MAX_NUMBER)]
+_DurationMs = Annotated[float, msgspec.Meta(ge=0, le=_MAX_NUMBER)]
+# Numbers that only order heartbeats may take 63 bits.
+_Ordinal = Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
+
 
 class _StatusReport(msgspec.Struct):
     service: str
     address: str
-    max_concurrency: int
+    max_concurrency: _Count
     state: Literal["ready", "draining"]
     # Increases with each call within a boot of the upstream.
-    sequence: int
-    warmup_left_ms: float = 0
+    sequence: _Ordinal
+    warmup_left_ms: _DurationMs = 0
     # Start of the boot, Unix milliseconds; absent on older installations.
-    born: int = 0
+    born: _Ordinal = 0
 
 
 def decode_call(
--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -51,6 +51,37 @@
       | GET    | /crocusmux/endpoints/i-1/heartbeat  | nothing                            |
       | POST   | /crocusmux/endpoints/i-1/restart    | nothing                            |
 
+  # Guards against a heartbeat that ends an agent: its report refused the number
+  # of slots, in the timer that sends all reports.
+  Scenario Outline: A heartbeat with a number that no report can carry is rejected
+    When an upstream calls POST /crocusmux/endpoints/i-1/heartbeat with a heartbeat with <field> <value>
+    Then the call is refused as malformed
+
+    Examples:
+      | field           | value               |
+      | max_concurrency | 2147483647          |
+      | max_concurrency | 1000000001          |
+      | max_concurrency | -1                  |
+      | sequence        | -1                  |
+      | sequence        | 9223372036854775808 |
+      | born            | -1                  |
+      | born            | 9223372036854775808 |
+      | warmup_left_ms  | -1                  |
+      | warmup_left_ms  | 1e300               |
+
+  # Guards against a limit that is lower than what a report can carry, or higher.
+  Scenario Outline: A heartbeat with the largest numbers is reported
+    When an upstream calls POST /crocusmux/endpoints/i-1/heartbeat with a heartbeat with <field> <value>
+    Then an agent reports <slots> slots to balancers of either release
+
+    Examples:
+      | field           | value               | slots      |
+      | max_concurrency | 1000000000          | 1000000000 |
+      | max_concurrency | 0                   | 1          |
+      | sequence        | 9223372036854775807 | 4          |
+      | born            | 9223372036854775807 | 4          |
+      | warmup_left_ms  | 1e9                 | 4          |
+
   # Guards against a heartbeat whose fields are mixed up.
   Scenario: A heartbeat is decoded
     When an upstream calls POST /crocusmux/endpoints/i-1/heartbeat with a heartbeat with sequence 7
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -11,6 +11,9 @@
 from crocusmux import errors
 from crocusmux import jsonlimits
 from crocusmux.core.control import calls
+from crocusmux.core.forward import agent
+from crocusmux.core.forward import outputs
+from crocusmux.core.forward import reports
 from crocusmux.core.forward import routes
 from crocusmux.core.forward import segments
 from crocusmux.daemons import forward
@@ -208,6 +211,34 @@
     assert beat.address == ("10.0.1.1", 8080)
 
 
+@then("an agent reports {slots:d} slots to balancers of either release")
+def check_reported(context, slots):
+    core = agent.ForwardingAgent("side-1", "rounds", 7, 1.2)
+    for number, compact in enumerate((False, True)):
+        message = reports.Subscribe(
+            "edge",
+            (f"10.0.0.{number}", 7720),
+            5,
+            "",
+            10.0,
+            0.25,
+            False,
+            compact,
+        )
+        core.on_subscribe(99.0, message)
+    core.on_heartbeat(100.0, context.call)
+    sent = [
+        x.message for x in core.on_timer(101.0) if isinstance(x, outputs.ToPeer)
+    ]
+    decoder = msgspec.msgpack.Decoder(reports.Message)
+    decoded = [decoder.decode(msgspec.msgpack.encode(x)) for x in sent]
+    assert [type(x) for x in decoded] == [
+        reports.LoadReport,
+        reports.CompactReport,
+    ]
+    assert [x.slots for x in decoded] == [slots, slots]
+
+
 def desired_state(**changes):
     route = {
         "name": "r1",
