Ignore SIGHUP until the event loop handles it

Cause: the handler of SIGHUP is set once the event loop runs. Before that the signal had its default effect, which ends the process.

Change: the program ignores SIGHUP from its first statement, before the other imports, until the handler is set. The handler only checks the settings, which a starting daemon reads anyway, so nothing has to be deferred.

The start of the interpreter itself is not covered.

--- a/crocusmux/platform/__main__.py
+++ b/crocusmux/platform/__main__.py
@@ -3,6 +3,13 @@
 Run as ``python -m crocusmux.platform balancer`` or ``... agent``.
 """
 
+import signal
+
+if __name__ == "__main__":
+    # Until the event loop handles it, SIGHUP would end the process.  The
+    # imports below take most of the start.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 import importlib
 import os
 import sys
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -26,6 +26,27 @@
 from features import store_standin
 
 FLAGS = {"SYN": 2, "ACK": 64, "FIN": 16, "RST": 4, "BOUNCED": 32}
+SIDE_SETTINGS = {
+    "node_name": "side-1",
+    "machine_class": "side",
+    "ip": "10.1.0.13",
+    "zone": "abay",
+    "listen": {
+        "data_addr": "10.1.0.13:8172",
+        "outbound": "10.1.0.13:8162",
+        "readiness": "10.1.0.13:8167",
+        "control": "10.1.0.13:8166",
+    },
+    "port_range": [7720, 7735],
+    "seeds": ["10.1.0.10:8166"],
+    "heartbeat_ms": 1200,
+    "bounds": {"grace_s": 6},
+    "app": "10.1.0.13:8165",
+    "service": "rounds",
+    "contracts": [],
+    "limits": {},
+    "platform": {"address": "10.200.1.7:8169"},
+}
 
 
 def nested(depth):
@@ -337,27 +358,7 @@
 
 @given("settings of a side machine in which {field:w} is {value}")
 def side_settings(context, field, value):
-    settings = {
-        "node_name": "side-1",
-        "machine_class": "side",
-        "ip": "10.1.0.13",
-        "zone": "abay",
-        "listen": {
-            "data_addr": "10.1.0.13:8172",
-            "outbound": "10.1.0.13:8162",
-            "readiness": "10.1.0.13:8167",
-            "control": "10.1.0.13:8166",
-        },
-        "port_range": [7720, 7735],
-        "seeds": ["10.1.0.10:8166"],
-        "heartbeat_ms": 1200,
-        "bounds": {"grace_s": 6},
-        "app": "10.1.0.13:8165",
-        "service": "rounds",
-        "contracts": [],
-        "limits": {},
-        "platform": {"address": "10.200.1.7:8169"},
-    }
+    settings = dict(SIDE_SETTINGS)
     if value == "missing":
         del settings[field]
     else:
