Take only the object config/main as the configuration

Cause: the balancer applied every object of the kind config. One with another name and a higher version replaced the routes, and all later changes of the object main were older and thus ignored.

Change: Adapter names the object; others of the kind are ignored, with the event object-ignored for each change of one.

--- a/crocusmux/daemons/forward.py
+++ b/crocusmux/daemons/forward.py
@@ -74,6 +74,11 @@
         detail = f"sender={sender} error={str(exc)!r}"
         self.record_event(outputs.Event("bad-input", b"", detail))
 
+    def record_ignored(self, purpose: str, name: str) -> None:
+        """Counts and logs an object of the store that is not used."""
+        detail = f"purpose={purpose} name={name!r}"
+        self.record_event(outputs.Event("object-ignored", b"", detail))
+
     def make_receiver(
         self,
         decode: Callable[[bytes], segments.Segment],
--- a/crocusmux/daemons/forward_balancer.py
+++ b/crocusmux/daemons/forward_balancer.py
@@ -235,6 +235,9 @@
 
     def _on_config_changes(self, changes: forwarding.Changes) -> None:
         for item in changes.items:
+            if item.name != self._adapter.config_name:
+                self._messenger.record_ignored("configuration", item.name)
+                continue
             try:
                 cfg = self._adapter.decode_config(item.spec)
             except errors.ObjectError as exc:
--- a/crocusmux/forwarding.py
+++ b/crocusmux/forwarding.py
@@ -166,6 +166,8 @@
     Attributes:
         store: The object store.
         config_kind: Kind of the configuration object.
+        config_name: Name of the configuration object; others of that kind are
+            ignored.
         agent_kind: Kind of the agents' announcements.
         evacuation_kind: Kind of the objects that are named after the failure
             domains which operators have evacuated.
@@ -185,6 +187,7 @@
 
     store: Store
     config_kind: str
+    config_name: str
     agent_kind: str
     evacuation_kind: str
     ready_path: str
--- a/crocusmux/platform/__main__.py
+++ b/crocusmux/platform/__main__.py
@@ -32,6 +32,7 @@
     return forwarding.Adapter(
         store=store.Store(cfg.store),
         config_kind="config",
+        config_name="main",
         agent_kind="agents",
         evacuation_kind="evacuations",
         ready_path="/crocusmux/ready",
--- a/features/forward_path.feature
+++ b/features/forward_path.feature
@@ -157,6 +157,17 @@
     When a caller opens a flow through balancer 1
     Then the caller gets a SYN+ACK
 
+  # Guards against fault CONFIG: another object of the kind with a higher version
+  # replaced the configuration, and every later change of it was ignored.
+  Scenario: Only the object main is the configuration
+    Given a store with a route to rounds, 2 balancers and 2 agents of rounds
+    When the store gets the configuration copy of version 9 without routes
+    And the operator adds a route on port 9090
+    Then balancer 1 has the new version within 3 s
+    And balancer 1 has logged one ignored object
+    When a caller opens a flow through balancer 1
+    Then the caller gets a SYN+ACK
+
   # Guards against an evacuation that is not in force within its bound, or that
   # is not taken back.
   Scenario: An evacuation through the store is in force and taken back within 5 s
--- a/features/steps/forward_path_steps.py
+++ b/features/steps/forward_path_steps.py
@@ -339,6 +339,28 @@
     publish_routes(context, 2, [8443, port])
 
 
+@when(
+    "the store gets the configuration {name:w} of version {version:d} without"
+    " routes"
+)
+def add_configuration(context, name, version):
+    state = {**wire.desired_state(), "version": version, "routes": []}
+    context.standin.put("config", name, state)
+
+
+@then("balancer {number:d} has logged one ignored object")
+def ignored_one(context, number):
+    assert event_count(context, number, "object-ignored") == 1
+
+
+def event_count(context, number, what):
+    address = (f"127.0.1.{number}", context.ports["metrics"])
+    text = http_call(context, "GET", address, "/metrics").body.decode()
+    name = f'crocusmux_events_total{{what="{what}"}}'
+    found = [x for x in text.splitlines() if x.startswith(name)]
+    return float(found[0].split()[-1]) if found else 0
+
+
 @when("the operator moves the route to wheelbook")
 def move_route(context):
     publish_routes(context, 2, [8443], "wheelbook")
