Place unplaced openings by the route in force

Cause: the service of a flow was chosen at its first SYN. Retransmissions of a declined or queued opening, and offers from the queue, went to that service although a newer configuration had moved or dropped the route.

Change: before each placement a flow that no upstream has moves to a service of the route in force, and is refused if it has no route any more. A flow that was offered and not declined keeps its service, as the upstream may hold it.

--- a/crocusmux/core/forward/balancer.py
+++ b/crocusmux/core/forward/balancer.py
@@ -299,6 +299,8 @@
         self, now: float, seg: segments.Segment, flow: flow_table.Flow
     ) -> Outputs:
         """Offers a new flow to the best upstream that has not been tried."""
+        if not flow.offered_hosts and not self._follow_route(seg.key, flow):
+            return self._refuse_flow(seg.key, flow, routes.REFUSED_NO_ROUTE)
         tried = {*flow.offered_hosts, *flow.busy_hosts, *flow.declined_hosts}
         chosen = None
         if len(flow.offered_hosts) + len(flow.busy_hosts) < MAX_OFFERS:
@@ -318,6 +320,19 @@
             outputs.Timing(outputs.PLACED, now - flow.opened_at),
         ]
 
+    def _follow_route(self, key: bytes, flow: flow_table.Flow) -> bool:
+        """Moves a flow that no upstream has to a service of the route in force.
+
+        Returns False if the flow has no route any more.
+        """
+        route = self.routes.find_route(key)
+        if route is not None and flow.service not in route.services():
+            self._openings.remove(key)
+            flow.service = route.pick_service(self._rng.random())
+            flow.busy_hosts.clear()
+            flow.declined_hosts.clear()
+        return route is not None
+
     def _register_offer(
         self, now: float, key: bytes, flow: flow_table.Flow
     ) -> None:
