Don't take a second heartbeat for the first one of a boot

Cause: an agent that hears number 0 or 1 first took it as proof that the upstream started after the agent, and denied all flows that it had not seen open. Number 1 is the second heartbeat of an upstream that counts from 0, so an agent that restarted within the first interval denied held flows.

Change: number 1 is no proof if the boot is old enough for two heartbeats and older than the agent, by the clock of their host. Number 0 is; without the start of the boot number 1 still is. The event upstream-started tells the result.

--- a/crocusmux/core/forward/agent.py
+++ b/crocusmux/core/forward/agent.py
@@ -30,9 +30,6 @@
 # Time for which the agent itself denies a flow whose segment the upstream
 # returned; longer than a holder lookup takes.
 ABSENCE_TTL_S = 10.0
-# If the first heartbeat received has at most this sequence number, the upstream
-# started after the agent, which therefore knows all of its flows.
-FIRST_HEARTBEAT_SEQUENCE = 1
 # Requests queued for each slot at which new flows are declined.  Balancers
 # queue the flows instead and place urgent ones first; with a longer queue here
 # every answer of an overloaded upstream is late.
@@ -348,8 +345,9 @@
         sent = self._end_silence(now)
         if before is None or not heartbeats.same_boot(before, beat):
             # A new boot holds none of the flows of the previous one.
-            first = beat.sequence <= FIRST_HEARTBEAT_SEQUENCE
-            self._knows_all_flows = before is not None or first
+            self._knows_all_flows = (
+                before is not None or self.lifecycle.saw_start(now)
+            )
             self._warmup_limit.clear()
             if not self._knows_all_flows:
                 # The previous agent may have used up the limit just now.
@@ -357,6 +355,7 @@
             detail = (
                 f"upstream={beat.upstream} born={beat.born_ms}"
                 f" slots={beat.slots} draining={beat.draining}"
+                f" flows_known={self._knows_all_flows}"
             )
             sent.append(outputs.Event("upstream-started", b"", detail, True))
             if self._health is not None:
--- a/crocusmux/core/forward/heartbeats.py
+++ b/crocusmux/core/forward/heartbeats.py
@@ -6,6 +6,14 @@
 OVERDUE_INTERVALS = 2.5
 # Heartbeat intervals without a heartbeat after which one counts as missed.
 MISSED_INTERVALS = 1.25
+# Number of the first heartbeat of a boot; some upstreams count from 0.
+FIRST_SEQUENCES = (0, 1)
+# Heartbeat intervals between the start of a boot and the earliest arrival of its
+# second heartbeat, with a margin for jitter.
+SECOND_HEARTBEAT_INTERVALS = 0.75
+# A boot that is older than this at its first or second heartbeat, in seconds,
+# has an unknown age: the clock of its host was set meanwhile.
+MAX_FIRST_AGE_S = 60.0
 
 
 class Heartbeat(msgspec.Struct, frozen=True, kw_only=True):
@@ -20,6 +28,8 @@
         slots: Requests that the upstream serves concurrently.
         draining: True if the upstream accepts no new flows.
         warmup_s: Time until the upstream reaches full speed, seconds.
+        boot_age_s: Time since the start of this boot at the arrival of the
+            heartbeat, by the clock of the host, seconds; None if unknown.
     """
 
     upstream: str
@@ -30,6 +40,7 @@
     slots: int
     draining: bool
     warmup_s: float
+    boot_age_s: float | None = None
 
 
 class UpstreamLifecycle:
@@ -77,6 +88,26 @@
             return False
         return now - self._started_at > OVERDUE_INTERVALS * self._interval_s
 
+    def saw_start(self, now: float) -> bool:
+        """Returns True if the first heartbeat is of a boot of after ``start``.
+
+        The agent then knows all flows of the boot.  Number 1 is the second
+        heartbeat of an upstream that counts from 0.  Its first one may have
+        reached a former agent, unless too little time has passed for two, or
+        the boot is younger than this agent.
+        """
+        beat = self.current
+        if beat is None or beat.sequence not in FIRST_SEQUENCES:
+            return False
+        age_s = beat.boot_age_s
+        if beat.sequence == 0 or age_s is None or age_s > MAX_FIRST_AGE_S:
+            return True
+        running_s = 0.0
+        if self._started_at is not None:
+            running_s = now - self._started_at
+        second_s = SECOND_HEARTBEAT_INTERVALS * self._interval_s
+        return age_s < max(second_s, running_s)
+
     def on_heartbeat(self, now: float, beat: Heartbeat) -> bool:
         """Applies a heartbeat.
 
--- a/crocusmux/daemons/forward_agent.py
+++ b/crocusmux/daemons/forward_agent.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import logging
 import random
+import time
 
 import msgspec
 from tornado import httputil
@@ -249,6 +250,10 @@
             event = outputs.Event("heartbeat-foreign", b"", detail, True)
             self._messenger.record_event(event)
             return CONFLICT, b""
+        if beat.born_ms:
+            # The upstream runs on this host, so it has the same clock.
+            age_s = time.time() - beat.born_ms / 1000
+            beat = msgspec.structs.replace(beat, boot_age_s=age_s)
         self._execute(self.core.on_heartbeat(now, beat))
         return (
             OK if self.core.lifecycle.acknowledges(beat) else CONFLICT
--- a/features/forward_agent.feature
+++ b/features/forward_agent.feature
@@ -238,6 +238,37 @@
     When a balancer probes for a flow that the agent does not know
     Then the upstream gets it
 
+  # Guards against fault FLOW (a): an agent that restarted within the first
+  # interval of heartbeats, 1.2 s, took the second heartbeat of an upstream that
+  # counts from 0 for the first one, and denied the flows opened before.
+  Scenario Outline: An agent is certain of unknown flows if it saw the boot start
+    Given an agent of rounds that has run for <running> s
+    When its upstream, started <age> s ago, first reports with sequence <number>
+    And a balancer queries an unknown flow
+    Then the reply <outcome>
+
+    Examples:
+      | running | age  | number | outcome            |
+      | 0.3     | 1.3  | 1      | is uncertain of it |
+      | 0       | 0.95 | 1      | is uncertain of it |
+      | 0.3     | 1.3  | 0      | denies it          |
+      | 0.3     | 0.2  | 1      | denies it          |
+      | 0       | 0.8  | 1      | denies it          |
+      | 1.6     | 1.3  | 1      | denies it          |
+      | 1.6     | 1.3  | 2      | is uncertain of it |
+      | 0.3     | 3600 | 1      | denies it          |
+      | 0.3     | -5   | 1      | denies it          |
+
+  # Guards against the same if the daemon does not tell the age of the boot.
+  Scenario Outline: The agent daemon tells the age of a boot
+    When a daemon of an agent hears sequence 1 of an upstream that started <age> s ago
+    Then the agent <outcome> unknown flows
+
+    Examples:
+      | age | outcome         |
+      | 0.1 | denies          |
+      | 1.3 | is uncertain of |
+
   # Guards against fault FLOW (a): a lost datagram makes the upstream seem dead.
   Scenario: An upstream whose heartbeats go on is not dead
     Given an agent of rounds whose upstream is ready
--- a/features/steps/forward_agent_steps.py
+++ b/features/steps/forward_agent_steps.py
@@ -1,3 +1,5 @@
+from unittest import mock
+
 from behave import given
 from behave import then
 from behave import when
@@ -8,6 +10,7 @@
 from crocusmux.core.forward import reports
 from crocusmux.core.forward import segments
 from crocusmux.core.forward import upstreams
+from crocusmux.daemons import forward_agent
 from features import balancer_sample
 from features import upstream_sample
 from features.steps import heartbeats_steps
@@ -78,6 +81,46 @@
     context.core.on_heartbeat(context.now, beat)
 
 
+@given("an agent of rounds that has run for {seconds:g} s")
+def agent_has_run(context, seconds):
+    new_agent(context)
+    context.core.on_timer(context.now - seconds)
+
+
+@when(
+    "its upstream, started {age:g} s ago, first reports with sequence"
+    " {number:d}"
+)
+def first_report(context, age, number):
+    beat = heartbeats_steps.heartbeat(BORN_MS, number)
+    beat = msgspec.structs.replace(beat, boot_age_s=age)
+    context.core.on_heartbeat(context.now, beat)
+
+
+@when(
+    "a daemon of an agent hears sequence 1 of an upstream that started {age:g}"
+    " s ago"
+)
+def daemon_hears(context, age):
+    new_agent(context)
+    daemon = forward_agent.AgentForwardingDaemon.__new__(
+        forward_agent.AgentForwardingDaemon
+    )
+    beat = heartbeats_steps.heartbeat(int((1e6 - age) * 1000), 1)
+    daemon._cfg = mock.Mock(service=beat.service, upstream=beat.address)
+    daemon._messenger = mock.Mock()
+    daemon.core = context.core
+    with mock.patch("time.time", return_value=1e6):
+        status, _ = daemon._on_heartbeat(context.now, beat)
+    assert status == forward_agent.OK
+
+
+@then("the agent {outcome} unknown flows")
+def knows_flows(context, outcome):
+    send_query(context, (context.key, 5001))
+    assert context.reply == (0, int(outcome == "is uncertain of"))
+
+
 @given("an open flow")
 def one_open_flow(context):
     context.open_key = balancer_sample.flow_key(50001)
