Scan a JSON string without an end once

Cause: the pattern that prunes deep JSON did not match a string without an end, so the search started again at each quotation mark in it. A heartbeat of 40 KB kept its agent busy for 6.8 s, in which no timer ran.

Change: such a string is one token up to the end of the document, and the pattern does not backtrack.

--- a/crocusmux/jsonlimits.py
+++ b/crocusmux/jsonlimits.py
@@ -6,7 +6,9 @@
 # fail on some hundred levels, and on the whole document.
 MAX_DEPTH = 64
 
-_TOKEN = re.compile(rb'"(?:[^"\\]|\\.)*"|[\[{\]}]', re.DOTALL)
+# A string without an end is one token up to the end of the document.  If it
+# were none, a search would start at each quotation mark in it.
+_TOKEN = re.compile(rb'"(?:[^"\\]++|\\.)*+(?:"|\\?\Z)|[\[{\]}]', re.DOTALL)
 _OPENING = b"[{"
 
 
--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -246,6 +246,15 @@
       | [[[1]],[{"a":{}}],5]  | [[null],[null],5]   |
       | {"a":"[[[","b":[[0]]} | {"a":"[[[","b":[null]} |
       | ["\\"]]]",[2]]        | ["\\"]]]",[2]]      |
+      | [[["a\\"]],[["b         | [[null],[null       |
+      | ["[[[                 | ["[[[               |
+      | ["a\\                 | ["a\\               |
+
+  # Guards against a heartbeat that stops its agent: the time for a string
+  # without an end grew by the square of its length, 6.8 s for 40 KB.
+  Scenario: A string without an end is scanned once
+    When JSON of 200 KB that is one string without an end is pruned
+    Then the document is unchanged after at most 1 s of processor time
 
   # Guards against a heartbeat that is nested too deep and raises an error in the
   # agent's HTTP server.
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -2,6 +2,7 @@
 import ipaddress
 import json
 import random
+import time
 
 from behave import given
 from behave import then
@@ -554,6 +555,20 @@
     assert context.pruned == text.encode(), context.pruned
 
 
+@when("JSON of {kilobytes:d} KB that is one string without an end is pruned")
+def prune_unterminated(context, kilobytes):
+    context.document = b'"' + b'\\"' * (kilobytes * 1000 // 2)
+    began_at = time.process_time()
+    context.pruned = jsonlimits.prune(context.document)
+    context.took_s = time.process_time() - began_at
+
+
+@then("the document is unchanged after at most {limit:d} s of processor time")
+def check_prune_time(context, limit):
+    assert context.pruned == context.document
+    assert context.took_s <= limit, context.took_s
+
+
 @when("a control message that is nested {depth:d} deep arrives")
 def deep_message(context, depth):
     context.loop = event_loop.PausedLoop()
