Check the numbers and addresses of configurations when decoded

Cause: any version, idle timeout, weight, goal, time budget and urgency was accepted. Subscribe refuses an idle timeout above 1e9 s and msgpack a version of more than 64 bits, so applying such an object config/main ended every balancer. The state of a peer was decoded without the checks of the adapter, and a bad address in it ended a starting balancer.

Change: Route, Configuration and FormerServices check themselves, so that both decoders refuse what a later step cannot use: numbers outside 0 to 1e9, a version outside 0 to 2^63 - 1, a route without a share, a malformed address.

--- a/crocusmux/core/forward/reports.py
+++ b/crocusmux/core/forward/reports.py
@@ -10,16 +10,20 @@
 MAX_NUMBER = 1e9
 
 
-def _check_numbers(message: msgspec.Struct, names: tuple[str, ...]) -> None:
-    """Checks fields with which a balancer or an agent calculates.
+def check_number(name: str, number: float) -> None:
+    """Checks a number with which a balancer or an agent calculates.
 
     Raises:
-        ValueError: A number is negative, infinite or not a number.
+        ValueError: It is negative, not a number or above ``MAX_NUMBER``.
     """
+    if not 0 <= number <= MAX_NUMBER:
+        raise ValueError(f"{name} is out of range: {number}")
+
+
+def check_numbers(message: msgspec.Struct, names: tuple[str, ...]) -> None:
+    """Checks some fields; see ``check_number``."""
     for name in names:
-        number = getattr(message, name)
-        if not 0 <= number <= MAX_NUMBER:
-            raise ValueError(f"{name} is out of range: {number}")
+        check_number(name, getattr(message, name))
 
 
 class Subscribe(msgspec.Struct, frozen=True, tag="s", array_like=True):
@@ -54,9 +58,7 @@
 
     def __post_init__(self) -> None:
         addresses.check(self.address)
-        _check_numbers(
-            self, ("valid_s", "interval_s", "warmup_per_s", "idle_s")
-        )
+        check_numbers(self, ("valid_s", "interval_s", "warmup_per_s", "idle_s"))
 
 
 class LoadReport(msgspec.Struct, frozen=True, tag="l", array_like=True):
@@ -91,7 +93,7 @@
     config_source: str
 
     def __post_init__(self) -> None:
-        _check_numbers(
+        check_numbers(
             self,
             ("slots", "in_progress", "flows", "service_ms", "interval_s"),
         )
@@ -123,7 +125,7 @@
     config_source: str
 
     def __post_init__(self) -> None:
-        _check_numbers(
+        check_numbers(
             self,
             (
                 "slots",
--- a/crocusmux/core/forward/routes.py
+++ b/crocusmux/core/forward/routes.py
@@ -12,8 +12,8 @@
 DEFAULT_IDLE_S = 15.0
 # Reason for which a flow to an unknown address is refused.
 REFUSED_NO_ROUTE = "no-route"
-# Larger rates are malformed: subscriptions cannot carry them.
-MAX_WARMUP_PER_S = reports.MAX_NUMBER
+# Subscriptions and the state for peers carry the version in 64 bits.
+MAX_VERSION = (1 << 63) - 1
 
 
 class Route(msgspec.Struct, frozen=True):
@@ -27,6 +27,10 @@
         target_s: Response-time goal, seconds.
         urgency: 0 for the most urgent requests.
         repeatable: True if requests are idempotent.
+
+    Raises:
+        ValueError: The address is malformed, there is no share, or a number
+            is out of range.
     """
 
     name: str
@@ -37,6 +41,14 @@
     urgency: int
     repeatable: bool
 
+    def __post_init__(self) -> None:
+        addresses.check(self.address)
+        if not self.shares:
+            raise ValueError(f"route {self.name} leads to no service")
+        reports.check_numbers(self, ("timeout_s", "target_s", "urgency"))
+        for service, weight in self.shares:
+            reports.check_number(f"weight of {service}", weight)
+
     def services(self) -> tuple[str, ...]:
         """Returns the names of the services that this route leads to."""
         return tuple(name for name, _ in self.shares)
@@ -74,6 +86,9 @@
         idle_s: Idle timeout of flows, seconds.
         warmup_rates: Names of the services that limit the new flows of a
             warming upstream, with their limits in openings a second.
+
+    Raises:
+        ValueError: A number is out of range.  Subscriptions cannot carry it.
     """
 
     version: int
@@ -82,11 +97,13 @@
     warmup_rates: tuple[tuple[str, float], ...] = ()
 
     def __post_init__(self) -> None:
+        if not 0 <= self.version <= MAX_VERSION:
+            raise ValueError(f"version is out of range: {self.version}")
+        reports.check_numbers(self, ("idle_s",))
         for service, rate in self.warmup_rates:
-            if not 0 < rate <= MAX_WARMUP_PER_S:
-                raise ValueError(
-                    f"warm-up rate of {service} is out of range: {rate}"
-                )
+            reports.check_number(f"warm-up rate of {service}", rate)
+            if not rate:
+                raise ValueError(f"warm-up rate of {service} is zero")
 
 
 class FormerServices(msgspec.Struct, frozen=True):
@@ -95,11 +112,17 @@
     Attributes:
         address: Address and port of the route.
         services: Service names.
+
+    Raises:
+        ValueError: The address is malformed.
     """
 
     address: tuple[str, int]
     services: tuple[str, ...]
 
+    def __post_init__(self) -> None:
+        addresses.check(self.address)
+
 
 class RouteTable:
     """The configuration in force, with its routes by address.
--- a/crocusmux/platform/configuration.py
+++ b/crocusmux/platform/configuration.py
@@ -67,7 +67,6 @@
         state.version,
         tuple(_convert_route(route) for route in state.routes),
         state.limits.idle_timeout_ms / 1000,
-        # A rate out of range is refused there.
         tuple(
             (s.name, s.warmup_per_s) for s in state.services if s.warmup_per_s
         ),
@@ -78,13 +77,9 @@
     shares = tuple((s.service, s.weight) for s in route.traffic_split)
     if route.service:
         shares = ((route.service, 1),)
-    if not shares:
-        raise ValueError(f"route {route.name} leads to no service")
-    address = (route.hostname, int(route.path_prefix.strip("/")))
-    routes.encode_route_address(address)
     return routes.Route(
         name=route.name,
-        address=address,
+        address=(route.hostname, int(route.path_prefix.strip("/"))),
         shares=shares,
         timeout_s=route.timeout_ms / 1000,
         target_s=route.target_latency_ms / 1000,
--- a/features/bad_input.feature
+++ b/features/bad_input.feature
@@ -29,6 +29,55 @@
   Scenario: A configuration with an impossible port raises one error
     Then a configuration whose route has port 70000 raises ObjectError
 
+  # Guards against a configuration that ends all balancers: it was applied, and
+  # then no subscription and no state for peers could be encoded.
+  Scenario Outline: A configuration that messages cannot carry raises one error
+    Then a configuration with <field> <value> raises ObjectError
+
+    Examples:
+      | field                    | value               |
+      | version                  | 9223372036854775808 |
+      | version                  | -1                  |
+      | limits/idle_timeout_ms   | 1e300               |
+      | limits/idle_timeout_ms   | -1                  |
+      | routes/0/priority        | 9223372036854775808 |
+      | routes/0/priority        | -1                  |
+      | routes/0/timeout_ms      | 1e300               |
+      | routes/0/timeout_ms      | -1                  |
+      | routes/0/target_latency_ms | 1e300             |
+
+  # Guards against a weight for which no service can be chosen.
+  Scenario Outline: A weight that is no share raises one error
+    Then a configuration whose route is split by <weight> raises ObjectError
+
+    Examples:
+      | weight     |
+      | -1         |
+      | 1000000001 |
+
+  # Guards against a configuration that is refused although it can be used.
+  Scenario: A configuration with the largest numbers is told to agents and peers
+    Then a configuration with the largest numbers is encoded and decoded again
+
+  # Guards against the state of a peer that ends a starting balancer: an address
+  # or a number was refused only when it was used.
+  Scenario Outline: A malformed state of a peer cannot be decoded
+    Then the state of a peer with <field> <value> is malformed
+
+    Examples:
+      | field                     | value               |
+      | config/routes/0/address   | ["198.18.0.1", -1]  |
+      | config/routes/0/address   | ["example", 443]    |
+      | config/routes/0/shares    | []                  |
+      | config/routes/0/shares    | [["rounds", -1]]    |
+      | config/routes/0/timeout_s | NaN                 |
+      | config/routes/0/target_s  | Infinity            |
+      | config/routes/0/urgency   | -1                  |
+      | config/idle_s             | NaN                 |
+      | config/version            | -1                  |
+      | former_services/0/address | ["198.18.0.1", 1e9] |
+      | former_services/0/address | ["", 443]           |
+
   # Guards against a message that crashes an agent, as the agent sends reports
   # to the address in a subscription.
   Scenario: A datagram to an impossible port is dropped
