Limit the interval of load reports to one hour

Cause: a subscription may ask for reports every 1e9 s. With many subscribers the agent lengthens the interval, and a compact report states it in milliseconds; both exceed what a report carries, 1e9, and the error ended the agent's timer.

Change: intervals above an hour are not served.

Result: without the change the 3 new scenarios end with the error, with it they pass, and all 132 others of bad_input and forward_agent.

--- a/crocusmux/core/forward/subscribers.py
+++ b/crocusmux/core/forward/subscribers.py
@@ -6,6 +6,9 @@
 MAX_REPORTS_PER_S = 80
 # Shorter requested intervals are not served.
 MIN_INTERVAL_S = 0.05
+# Nor are longer ones: a report states its interval in milliseconds, and cannot
+# carry more than 1e9 of them.
+MAX_INTERVAL_S = 3_600.0
 
 Address = tuple[str, int]
 
@@ -99,6 +102,7 @@
         rate = sum(1 / max(x.interval_s, MIN_INTERVAL_S) for x in self.all())
         slowdown = max(1.0, rate / MAX_REPORTS_PER_S)
         interval_s = max(subscriber.interval_s, MIN_INTERVAL_S) * slowdown
+        interval_s = min(interval_s, MAX_INTERVAL_S)
         subscriber.next_report_at = now + interval_s
         return interval_s
 
--- a/features/bad_input.feature
+++ b/features/bad_input.feature
@@ -78,6 +78,17 @@
       | former_services/0/address | ["198.18.0.1", 1e9] |
       | former_services/0/address | ["", 443]           |
 
+  # Guards against a subscription that ends an agent: its report, or the compact
+  # form of it, cannot carry the interval at which the balancer gets reports.
+  Scenario Outline: A subscription with a long interval is served by reports
+    Then an agent reports to 29 balancers and to one that asks for <form> reports every <interval> s
+
+    Examples:
+      | form    | interval |
+      | full    | 1e9      |
+      | compact | 1e9      |
+      | compact | 2e6      |
+
   # Guards against a message that crashes an agent, as the agent sends reports
   # to the address in a subscription.
   Scenario: A datagram to an impossible port is dropped
--- a/features/steps/bad_input_steps.py
+++ b/features/steps/bad_input_steps.py
@@ -415,6 +415,25 @@
     return msgspec.msgpack.decode(data, type=forwarding.PeerState)
 
 
+@then(
+    "an agent reports to {others:d} balancers and to one that asks for {form:w}"
+    " reports every {interval:g} s"
+)
+def check_long_interval(context, others, form, interval):
+    core = agent.ForwardingAgent("side-1", "rounds", 7, 1.2)
+    for number in range(others + 1):
+        message = reports.Subscribe(
+            "edge", (f"10.0.0.{number}", 7720), 5, "", 10.0, 0.05
+        )
+        if number == others:
+            message = msgspec.structs.replace(
+                message, interval_s=interval, compact=form == "compact"
+            )
+        core.on_subscribe(100.0, message)
+    sent = core.on_timer(100.1) + core.on_timer(104.0)
+    assert len(sent) >= others
+
+
 @then("a datagram to port {port:d} is counted as dropped")
 def check_datagram_port(context, port):
     async def send():
