Refuse flow queries of more than 64 flows

Cause: a reply tells about each flow of a query by a bit of a 64-bit mask. A query of 65 flows was accepted, and encoding the reply raised OverflowError in the agent's receiver.

Change: FlowQuery refuses more than 64 flows; balancers take the limit from there.

--- a/crocusmux/core/forward/flow_queries.py
+++ b/crocusmux/core/forward/flow_queries.py
@@ -4,11 +4,11 @@
 one datagram queries many flows, and the rate of datagrams is limited.
 """
 
+from crocusmux.core.forward import reports
+
 # With their replies, queries at this rate take about a tenth of the smallest
 # host's processor.
 MAX_QUERIES_PER_S = 1_000
-# Number of bits in the masks of a reply.
-MAX_FLOWS_PER_QUERY = 64
 # A reply later than this is ignored.
 REPLY_TIMEOUT_S = 2.0
 
@@ -52,8 +52,8 @@
         queries: list[tuple[str, int, Flows]] = []
         for host, acks in self._pending.items():
             flows = tuple(acks.items())
-            for start in range(0, len(flows), MAX_FLOWS_PER_QUERY):
-                part = flows[start : start + MAX_FLOWS_PER_QUERY]
+            for start in range(0, len(flows), reports.MAX_QUERY_FLOWS):
+                part = flows[start : start + reports.MAX_QUERY_FLOWS]
                 queries.append((host, self._record_sent(now, host, part), part))
         self._pending.clear()
         self._next_send_at = now + len(queries) / MAX_QUERIES_PER_S
--- a/crocusmux/core/forward/reports.py
+++ b/crocusmux/core/forward/reports.py
@@ -8,6 +8,8 @@
 
 # Larger numbers in a message are bad input.
 MAX_NUMBER = 1e9
+# Number of bits in the masks of a reply to a flow query.
+MAX_QUERY_FLOWS = 64
 
 
 def check_number(name: str, number: float) -> None:
@@ -179,13 +181,18 @@
     Attributes:
         number: Number of the query, increasing within a balancer's run.
         service_tag: Hash of the service to which the flows belong.
-        flows: Flow keys, each with the caller's last acknowledgement.
+        flows: Flow keys, each with the caller's last acknowledgement; at most
+            ``MAX_QUERY_FLOWS``.
     """
 
     number: int
     service_tag: int
     flows: tuple[tuple[bytes, int], ...]
 
+    def __post_init__(self) -> None:
+        if len(self.flows) > MAX_QUERY_FLOWS:
+            raise ValueError(f"too many flows: {len(self.flows)}")
+
 
 class FlowQueryReply(msgspec.Struct, frozen=True, tag="a", array_like=True):
     """An agent's reply to a flow query; flows in neither mask are denied.
--- a/features/bad_input.feature
+++ b/features/bad_input.feature
@@ -78,6 +78,11 @@
       | former_services/0/address | ["198.18.0.1", 1e9] |
       | former_services/0/address | ["", 443]           |
 
+  # Guards against a flow query to which no reply can be encoded, as its masks
+  # have 64 bits.
+  Scenario: A query of more flows than a reply can tell about is refused
+    Then a query of 64 flows is decoded and answered, and one of 65 cannot be decoded
+
   # Guards against a subscription that ends an agent: its report, or the compact
   # form of it, cannot carry the interval at which the balancer gets reports.
   Scenario Outline: A subscription with a long interval is served by reports
--- a/features/steps/bad_input_steps.py
+++ b/features/steps/bad_input_steps.py
@@ -415,6 +415,25 @@
     return msgspec.msgpack.decode(data, type=forwarding.PeerState)
 
 
+@then(
+    "a query of {most:d} flows is decoded and answered, and one of {more:d}"
+    " cannot be decoded"
+)
+def check_query_size(context, most, more):
+    tag = upstreams.service_tag("rounds")
+    flows = [(balancer_sample.flow_key(port), 1) for port in range(more)]
+    query = decode_message(["q", 1, tag, flows[:most]])
+    core = agent.ForwardingAgent("side-1", "rounds", 7, 1.2)
+    (sent,) = core.on_flow_query(100.0, query, balancer_sample.BALANCER_ADDRESS)
+    reply = decode_message(msgspec.to_builtins(sent.message))
+    assert reply.uncertain == 2**most - 1
+    try:
+        decode_message(["q", 1, tag, flows])
+    except msgspec.ValidationError:
+        return
+    raise AssertionError("the query was decoded")
+
+
 @then(
     "an agent reports to {others:d} balancers and to one that asks for {form:w}"
     " reports every {interval:g} s"
