Move request tracking of the agent to a module of its own

Change: core/forward/request_tracking.py finds where requests begin and end, and feeds the load and the health. Flow itself tells whether the upstream holds it. Behavior is the same; three steps of upstream_health read the health at its new place.

--- a/crocusmux/core/forward/agent.py
+++ b/crocusmux/core/forward/agent.py
@@ -6,10 +6,9 @@
 from crocusmux.core.forward import heartbeats
 from crocusmux.core.forward import outputs
 from crocusmux.core.forward import reports
+from crocusmux.core.forward import request_tracking
 from crocusmux.core.forward import segments
 from crocusmux.core.forward import subscribers
-from crocusmux.core.forward import upstream_health
-from crocusmux.core.forward import upstream_load
 from crocusmux.core.forward import upstreams
 from crocusmux.core.forward import warmup
 
@@ -67,11 +66,9 @@
             detect_outliers: True to report a longer service time while the
                 upstream fails requests.
         """
-        self._health = (
-            upstream_health.UpstreamHealth() if detect_outliers else None
-        )
         self.lifecycle = heartbeats.UpstreamLifecycle(interval_s)
-        self.load = upstream_load.UpstreamLoad(self._health)
+        self._requests = request_tracking.RequestTracker(detect_outliers)
+        self.load = self._requests.load
         self.stopping = False
         self._host = host
         self._service = service
@@ -101,13 +98,13 @@
         flow.last_segment_at = now
         flow.balancer = balancer
         if not flow.open and not flow.probing:
-            if not self._acknowledges_syn_ack(seg.ack, flow):
+            if not flow.acknowledges_syn_ack(seg.ack):
                 # The caller goes on with another upstream.
                 self.load.end_expectation(seg.key)
                 return [self._make_denial(seg.key, balancer)]
             flow.open = True
         flow.caller_ack = seg.ack
-        self._track_request(now, seg, flow)
+        self._requests.on_caller_segment(now, seg, flow, self._leaving())
         sent: Outputs = [outputs.ToUpstream(seg)]
         if seg.mark == segments.MARK_PROBE and flow.open:
             claim = reports.FlowClaimed(self._host, seg.key)
@@ -169,7 +166,7 @@
         flow = self._add_flow(now, seg.key, balancer)
         flow.probing = True
         flow.caller_ack = seg.ack
-        self._track_request(now, seg, flow)
+        self._requests.on_caller_segment(now, seg, flow, self._leaving())
         return [outputs.ToUpstream(seg)]
 
     def _can_deny(self, now: float, key: bytes, probe: bool) -> bool:
@@ -184,79 +181,16 @@
         returned_at = self._returned_at.get(key)
         return returned_at is not None and now - returned_at < ABSENCE_TTL_S
 
-    def _acknowledges_syn_ack(self, ack: int, flow: agent_flows.Flow) -> bool:
-        if flow.upstream_isn is None:
-            return False
-        return segments.acknowledges_syn_ack(ack, flow.upstream_isn)
-
     def _add_flow(
         self, now: float, key: bytes, balancer: Address
     ) -> agent_flows.Flow:
         if len(self._flows) >= MAX_FLOWS:
             oldest = next(iter(self._flows))
-            self._end_request(now, self._flows.pop(oldest), answered=False)
+            self._requests.end(now, self._flows.pop(oldest))
         flow = agent_flows.Flow(now, balancer)
         self._flows[key] = flow
         return flow
 
-    def _track_request(
-        self, now: float, seg: segments.Segment, flow: agent_flows.Flow
-    ) -> None:
-        if seg.length or seg.final or seg.reset:
-            self.load.end_expectation(seg.key)
-        if seg.final or seg.reset:
-            flow.closing = True
-        if seg.reset:
-            given_up = self._is_overdue(now, flow)
-            self._end_request(now, flow, answered=False, failed=given_up)
-        if seg.length == 0:
-            return
-        end = (seg.seq + seg.length) % segments.SEQUENCE_MODULUS
-        known_end = flow.request_end
-        if known_end is not None and not segments.is_after(end, known_end):
-            return
-        flow.request_end = end
-        # More data follows a full segment.  An upload takes a slot only once
-        # the upstream has received all of it.
-        self._end_request(now, flow, answered=False)
-        if seg.is_full():
-            return
-        flow.request_began_at = now
-        beat = self.lifecycle.current
-        slots = beat.slots if beat else 1
-        flow.request_queued = self.load.in_progress >= slots
-        if self._health is not None:
-            self._health.begin(now, flow)
-        self.load.begin(now)
-
-    def _is_overdue(self, now: float, flow: agent_flows.Flow) -> bool:
-        if self._health is None:
-            return False
-        return self._health.is_overdue(now, flow)
-
-    def _end_request(
-        self,
-        now: float,
-        flow: agent_flows.Flow,
-        answered: bool,
-        failed: bool = False,
-    ) -> None:
-        """Ends a flow's request, if any.
-
-        Args:
-            now: Time in seconds.
-            flow: The flow.
-            answered: True if the upstream answered the request.
-            failed: True if the upstream is the cause of a missing answer.
-        """
-        if not flow.request_began_at:
-            return
-        if self._health is not None:
-            failed = failed and not self._leaving()
-            self._health.end(now, flow, answered, failed)
-        self.load.end(now, flow.request_began_at, flow.request_queued, answered)
-        flow.request_began_at = 0.0
-
     def on_upstream_segment(self, now: float, seg: segments.Segment) -> Outputs:
         """Forwards an upstream's segment, or ends a flow that it returned."""
         self._unanswered_since = None
@@ -284,16 +218,11 @@
                 flow.upstream_end = (seg.seq + 1) % segments.SEQUENCE_MODULUS
         else:
             flow.upstream_sent = True
-        answers = _record_answer_data(seg, flow)
-        if answers and flow.request_began_at:
-            answer_s = now - flow.request_began_at
+        answer_s = self._requests.on_upstream_segment(
+            now, seg, flow, self._leaving()
+        )
+        if answer_s is not None:
             sent.append(outputs.Timing(outputs.ANSWERED, answer_s))
-            self._end_request(now, flow, answered=True)
-        if seg.final or seg.reset:
-            # After the caller has closed the flow, the upstream need not answer.
-            failed = not flow.closing or self._is_overdue(now, flow)
-            flow.closing = True
-            self._end_request(now, flow, answered=False, failed=failed)
         sent.append(outputs.ToCaller(seg))
         return sent
 
@@ -303,8 +232,7 @@
         if flow is None or (seg.opening and flow.open):
             return []
         del self._flows[seg.key]
-        self.load.end_expectation(seg.key)
-        self._end_request(now, flow, answered=False)
+        self._requests.drop_flow(now, seg.key, flow)
         if seg.opening:
             reason = reports.DECLINED_BY_UPSTREAM
             return [self._make_decline(seg.key, flow.balancer, reason)]
@@ -319,8 +247,7 @@
     ) -> Outputs:
         """Declines an opening, or denies a flow that seemed open."""
         self._flows.pop(key, None)
-        self.load.end_expectation(key)
-        self._end_request(now, flow, answered=False)
+        self._requests.drop_flow(now, key, flow)
         if not flow.open and not flow.probing:
             reason = reports.DECLINED_BY_UPSTREAM
             return [self._make_decline(key, flow.balancer, reason)]
@@ -358,11 +285,8 @@
                 f" flows_known={self._knows_all_flows}"
             )
             sent.append(outputs.Event("upstream-started", b"", detail, True))
-            if self._health is not None:
-                self._health.restart()
-        if self._health is not None:
-            self._health.learn_until(now + beat.warmup_s)
-            self._health.slots = beat.slots
+            self._requests.restart()
+        self._requests.on_heartbeat(now, beat)
         return sent + self._report_change(now)
 
     def on_deregister(self, now: float, upstream: str) -> Outputs:
@@ -405,7 +329,7 @@
         if message.service_tag == self._service_tag:
             for position, (key, ack) in enumerate(message.flows):
                 flow = self._flows.get(key)
-                if self._holds(ack, flow):
+                if flow is not None and flow.held(ack):
                     claimed |= 1 << position
                 elif self._is_uncertain(now, key, flow):
                     uncertain |= 1 << position
@@ -414,11 +338,6 @@
         )
         return [outputs.ToPeer(balancer, reply)]
 
-    def _holds(self, ack: int, flow: agent_flows.Flow | None) -> bool:
-        if flow is None or flow.probing:
-            return False
-        return flow.open or self._acknowledges_syn_ack(ack, flow)
-
     def _is_uncertain(
         self, now: float, key: bytes, flow: agent_flows.Flow | None
     ) -> bool:
@@ -430,8 +349,7 @@
         """Runs timeouts, reports and expiry, every ``TIMER_INTERVAL_S``."""
         self.lifecycle.start(now)
         sent = self._check_silence(now)
-        if self._health is not None:
-            sent += self._health.on_timer(now, judge=not self._leaving())
+        sent += self._requests.on_timer(now, self._leaving())
         self._open_flow_count = sum(
             flow.open and not flow.closing for flow in self._flows.values()
         )
@@ -481,7 +399,7 @@
         sent: Outputs = []
         for key, flow in list(self._flows.items()):
             del self._flows[key]
-            self._end_request(now, flow, answered=False)
+            self._requests.end(now, flow)
             if flow.open and not flow.closing:
                 sent += self._reset_flow(key, flow, "upstream-dead")
         return sent
@@ -491,14 +409,9 @@
             MIN_FLOW_IDLE_S, self._subscribers.idle_s + IDLE_SLACK_S
         )
         for key, flow in list(self._flows.items()):
-            if (
-                flow.request_began_at
-                and now - flow.request_began_at
-                > upstream_load.REQUEST_TIMEOUT_S
-            ):
-                self._end_request(now, flow, answered=False)
+            self._requests.end_timed_out(now, flow)
             if now - flow.last_segment_at > idle_timeout_s:
-                self._end_request(now, flow, answered=False)
+                self._requests.end(now, flow)
                 del self._flows[key]
         for key, returned_at in list(self._returned_at.items()):
             if now - returned_at >= ABSENCE_TTL_S:
@@ -569,20 +482,3 @@
 
     def _make_denial(self, key: bytes, balancer: Address) -> outputs.ToPeer:
         return outputs.ToPeer(balancer, reports.FlowDenied(self._host, key))
-
-
-def _record_answer_data(seg: segments.Segment, flow: agent_flows.Flow) -> bool:
-    """Records the end of an upstream's data; returns True if it has answered.
-
-    Segments may arrive in another order than they were sent.  A close whose
-    sequence number is beyond the known data shows that data precede it.
-    """
-    if not seg.length and not seg.final:
-        return False
-    known_end = flow.upstream_end
-    end = (seg.seq + seg.length) % segments.SEQUENCE_MODULUS
-    if known_end is None or segments.is_after(end, known_end):
-        flow.upstream_end = end
-    if seg.length:
-        return True
-    return known_end is not None and segments.is_after(end, known_end)
--- a/crocusmux/core/forward/agent_flows.py
+++ b/crocusmux/core/forward/agent_flows.py
@@ -1,5 +1,7 @@
 """Per-flow state of a forwarding agent."""
 
+from crocusmux.core.forward import segments
+
 Address = tuple[str, int]
 
 
@@ -51,3 +53,15 @@
         self.request_began_at = 0.0
         self.request_queued = False
         self.last_segment_at = now
+
+    def acknowledges_syn_ack(self, ack: int) -> bool:
+        """Returns True if ``ack`` acknowledges the upstream's SYN+ACK."""
+        if self.upstream_isn is None:
+            return False
+        return segments.acknowledges_syn_ack(ack, self.upstream_isn)
+
+    def held(self, ack: int) -> bool:
+        """Returns True if the upstream holds the flow of a caller's ``ack``."""
+        if self.probing:
+            return False
+        return self.open or self.acknowledges_syn_ack(ack)
--- a/features/steps/upstream_health_steps.py
+++ b/features/steps/upstream_health_steps.py
@@ -122,7 +122,7 @@
 def none_is_fast(context, seconds):
     context.simulation.start_requests(REQUEST_INTERVAL_S)
     context.simulation.run(seconds)
-    assert context.upstream.core._health._fast_bits == 0
+    assert context.upstream.core._requests._health._fast_bits == 0
 
 
 def reported(context):
@@ -199,7 +199,7 @@
         for key, flow in context.upstream.core._flows.items()
         if flow.request_began_at
     ]
-    context.usual_ms = context.upstream.core._health._level_ms
+    context.usual_ms = context.upstream.core._requests._health._level_ms
 
 
 def from_upstream(context, **changes):
@@ -245,7 +245,7 @@
 
 @then("that is {outcome} failure")
 def check_failure(context, outcome):
-    failures = context.upstream.core._health._failures
+    failures = context.upstream.core._requests._health._failures
     assert failures == (1 if outcome == "a" else 0), failures
 
 
