Refuse unusable settings with one error

Cause: settings that are nested too deep raised RecursionError, which neither the start nor the handler of SIGHUP expects. A heartbeat interval of 0, a negative grace time, a port of 70000 and a host name in place of an IP address were accepted, and failed in the running daemon: an agent whose address is a host name ended as it wrote its record.

Change: decode raises SettingsError for everything that it refuses, and checks these values. The scenarios that took msgspec's errors, too, now take this one only.

--- a/crocusmux/platform/host_settings.py
+++ b/crocusmux/platform/host_settings.py
@@ -10,6 +10,7 @@
 from crocusmux import addresses
 from crocusmux import errors
 from crocusmux import forwarding
+from crocusmux.core.forward import reports
 
 SETTINGS_VARIABLE = "CROCUSMUX_BOOT"
 # Limit of a balancer's hedged openings as a share of all its openings.
@@ -21,6 +22,11 @@
 HEALTH_CONTRACT = "health"
 
 
+# Longest time in the settings, as for numbers in messages.
+_MAX_MS = int(reports.MAX_NUMBER)
+_Port = Annotated[int, msgspec.Meta(ge=1, le=addresses.MAX_PORT)]
+
+
 class _Listen(msgspec.Struct):
     # Address for packets: from callers on an edge machine, from balancers on a
     # side machine.
@@ -31,7 +37,7 @@
 
 
 class _Bounds(msgspec.Struct):
-    grace_s: float = 6.0
+    grace_s: Annotated[float, msgspec.Meta(ge=0, le=_MAX_MS / 1000)] = 6.0
     # Time within which an evacuation is in force; None without evacuations.
     evacuate_ms: float | None = None
 
@@ -52,10 +58,10 @@
     zone: str
     listen: _Listen
     # First and last port for traffic between daemons.
-    port_range: tuple[int, int]
+    port_range: tuple[_Port, _Port]
     platform: _Platform
     seeds: list[str] = []
-    heartbeat_ms: float = 1000.0
+    heartbeat_ms: Annotated[float, msgspec.Meta(gt=0, le=_MAX_MS)] = 1000.0
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     # True only when the whole system starts for the first time.
     bootstrap: bool = False
@@ -73,15 +79,12 @@
             has a wrong type; the message names the field.
     """
     try:
-        return decode(pathlib.Path(path).read_bytes())
+        data = pathlib.Path(path).read_bytes()
     except OSError as exc:
         raise errors.SettingsError(
             f"cannot read: {exc}", step="read settings", peer=path
         ) from exc
-    except (msgspec.DecodeError, ValueError) as exc:
-        raise errors.SettingsError(
-            str(exc), step="check settings", peer=path
-        ) from exc
+    return decode(data, path)
 
 
 def hedge_share(environment: Mapping[str, str]) -> float:
@@ -112,19 +115,40 @@
     return share
 
 
-def decode(data: bytes) -> forwarding.HostSettings:
+def decode(data: bytes, path: str = "-") -> forwarding.HostSettings:
     """Decodes the contents of a settings file.
 
+    Args:
+        data: The contents.
+        path: Path of the file, for the error.
+
     Raises:
-        msgspec.DecodeError: A field is missing or has a wrong type.
-        ValueError: An address is malformed.
+        errors.SettingsError: A field is missing, has a wrong type or is out of
+            range.
     """
-    fields = msgspec.json.decode(data, type=_SettingsFile)
+    try:
+        fields = msgspec.json.decode(data, type=_SettingsFile)
+        return _convert(fields)
+    except (msgspec.DecodeError, RecursionError, ValueError) as exc:
+        raise errors.SettingsError(
+            str(exc), step="check settings", peer=path
+        ) from exc
+
+
+def _convert(fields: _SettingsFile) -> forwarding.HostSettings:
     listen = fields.listen
     packets = addresses.split(listen.data_addr)
     agent = fields.machine_class == "side"
     if agent and not (fields.service and fields.app and listen.outbound):
         raise ValueError("service, app or listen.outbound is missing")
+    messages = (fields.ip, fields.port_range[0])
+    upstream = addresses.split(fields.app) if agent else ("", 0)
+    outbound = addresses.split(listen.outbound) if agent else ("", 0)
+    # Messages and the agent's record carry the first two.  A host name in one
+    # of the others would be looked up for each segment.
+    used = [packets, messages, *([upstream, outbound] if agent else [])]
+    for address in used:
+        addresses.check(address)
     limits = fields.limits or _HostLimits()
     return forwarding.HostSettings(
         role="agent" if agent else "balancer",
@@ -135,7 +159,7 @@
         caller_port=packets[1],
         readiness=addresses.split(listen.readiness),
         control=addresses.split(listen.control or listen.readiness),
-        messages=(fields.ip, fields.port_range[0]),
+        messages=messages,
         metrics=(fields.ip, METRICS_PORT),
         seeds=tuple(addresses.split(seed) for seed in fields.seeds),
         store=addresses.split(fields.platform.address),
@@ -144,7 +168,7 @@
         first_start=fields.bootstrap,
         evacuations=fields.bounds.evacuate_ms is not None,
         service=fields.service,
-        upstream=addresses.split(fields.app) if agent else ("", 0),
-        outbound=addresses.split(listen.outbound) if agent else ("", 0),
+        upstream=upstream,
+        outbound=outbound,
         detect_outliers=HEALTH_CONTRACT in fields.contracts,
     )
--- a/features/bad_input.feature
+++ b/features/bad_input.feature
@@ -13,8 +13,8 @@
     Then 500 random objects and changed configurations decode or raise ObjectError
 
   # Guards against settings that fail only after the start of a daemon.
-  Scenario: Any settings file decodes or raises a named error
-    Then 300 random settings files and changed ones decode or raise a named error
+  Scenario: Any settings file decodes or raises SettingsError
+    Then 300 random settings files and changed ones decode or raise SettingsError
 
   # Guards against a crash or leak after a sequence that no test foresees.
   Scenario: A balancer survives any sequence of packets and messages
--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -144,6 +144,13 @@
       | limits        | {"link_mbps": -1e-9}    | link_mbps     |
       | limits        | {"link_mbps": "5"}      | link_mbps     |
       | limits        | {"link_mbps": true}     | link_mbps     |
+      | heartbeat_ms  | 0                       | heartbeat_ms  |
+      | heartbeat_ms  | 1e10                    | heartbeat_ms  |
+      | bounds        | {"grace_s": -1}         | grace_s       |
+      | port_range    | [0, 7735]               | port_range    |
+      | port_range    | [70000, 70001]          | port_range    |
+      | ip            | "example"               | example       |
+      | app           | "example:8165"          | example       |
 
   # Guards against a start with a bandwidth that JSON does not have.
   Scenario Outline: A bandwidth that is no finite number is rejected
@@ -156,6 +163,11 @@
       | Infinity | JSON      |
       | 1e999    | link_mbps |
 
+  # Guards against a reload that fails with an error nobody catches.
+  Scenario: Settings that are nested too deep are rejected
+    Given settings of a side machine in which an unknown field is nested 20000 deep
+    Then they are refused with an error that names recursion
+
   # Guards against a failed start with the settings of a newer platform.
   Scenario: Unknown fields of the settings are ignored
     Given settings of a side machine in which colour is "blue"
--- a/features/steps/bad_input_steps.py
+++ b/features/steps/bad_input_steps.py
@@ -189,15 +189,15 @@
 
 
 @then(
-    "{count:d} random settings files and changed ones decode or raise a named"
-    " error"
+    "{count:d} random settings files and changed ones decode or raise"
+    " SettingsError"
 )
 def check_settings(context, count):
     @generate(count, inputs(SETTINGS))
     def check(data):
         try:
             cfg = host_settings.decode(data)
-        except (msgspec.DecodeError, ValueError):
+        except errors.SettingsError:
             return
         assert cfg.role == "balancer"
 
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -375,11 +375,20 @@
     )
 
 
+@given(
+    "settings of a side machine in which an unknown field is nested {depth:d}"
+    " deep"
+)
+def deep_settings(context, depth):
+    text = json.dumps({**SIDE_SETTINGS, "colour": "DEEP"}).encode()
+    context.settings = text.replace(b'"DEEP"', nested(depth))
+
+
 @then("they are refused with an error that names {word}")
 def settings_rejected(context, word):
     try:
         host_settings.decode(context.settings)
-    except (msgspec.DecodeError, ValueError) as exc:
+    except errors.SettingsError as exc:
         assert word in str(exc), exc
         return
     raise AssertionError("they were taken")
