Decode messages, records and states in one place each

Change: reports.decode and forwarding.decode_state raise WireError, and upstreams.decode_record raises ObjectError, as the decoders of the adapter do.

--- a/crocusmux/core/forward/reports.py
+++ b/crocusmux/core/forward/reports.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from crocusmux import addresses
+from crocusmux import errors
 
 # Larger numbers in a message are bad input.
 MAX_NUMBER = 1e9
@@ -267,3 +268,23 @@
     | FlowDenied
     | OpeningDeclined
 )
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Message)
+
+
+def encode(message: Message) -> bytes:
+    """Returns a message as a datagram."""
+    return _encoder.encode(message)
+
+
+def decode(data: bytes) -> Message:
+    """Decodes a datagram of another daemon.
+
+    Raises:
+        errors.WireError: The message is malformed.
+    """
+    try:
+        return _decoder.decode(data)
+    except (msgspec.DecodeError, RecursionError) as exc:
+        raise errors.WireError(str(exc), step="decode message") from exc
--- a/crocusmux/core/forward/upstreams.py
+++ b/crocusmux/core/forward/upstreams.py
@@ -4,6 +4,7 @@
 import xxhash
 
 from crocusmux import addresses
+from crocusmux import errors
 from crocusmux.core.forward import reports
 
 # A report is overdue after this many intervals and up to this time.  The agent is
@@ -77,6 +78,21 @@
         return self == renewed
 
 
+_record_decoder = msgspec.json.Decoder(AgentRecord)
+
+
+def decode_record(spec: bytes) -> AgentRecord:
+    """Decodes the ``spec`` of an agent's object in the store.
+
+    Raises:
+        errors.ObjectError: The object is malformed.
+    """
+    try:
+        return _record_decoder.decode(spec)
+    except (msgspec.DecodeError, RecursionError) as exc:
+        raise errors.ObjectError(str(exc), step="decode agent record") from exc
+
+
 class Upstream:
     """An agent and its upstream.
 
--- a/crocusmux/daemons/forward.py
+++ b/crocusmux/daemons/forward.py
@@ -6,7 +6,6 @@
 import signal
 import socket
 
-import msgspec
 from tornado import httpserver
 from tornado import httputil
 from tornado import netutil
@@ -27,9 +26,6 @@
 BACKLOG = 128
 MAX_BODY_BYTES = 4 << 20
 
-_encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(reports.Message)
-
 HttpHandler = Callable[[httputil.HTTPServerRequest], tuple[int, bytes]]
 
 
@@ -62,7 +58,7 @@
 
     def send(self, message: reports.Message, to: forwarding.Address) -> None:
         """Sends a message, which may get lost."""
-        self.socket.send(_encoder.encode(message), to)
+        self.socket.send(reports.encode(message), to)
 
     def record_event(self, event: outputs.Event) -> None:
         """Counts and logs an event."""
@@ -103,8 +99,8 @@
 
     def _on_datagram(self, data: bytes, sender: forwarding.Address) -> None:
         try:
-            message = _decoder.decode(data)
-        except (msgspec.DecodeError, RecursionError) as exc:
+            message = reports.decode(data)
+        except errors.WireError as exc:
             self.record_bad_input(exc, sender)
             return
         self._receive(message, sender)
--- a/crocusmux/daemons/forward_balancer.py
+++ b/crocusmux/daemons/forward_balancer.py
@@ -59,8 +59,6 @@
 # second; it forwards segments somewhat longer.
 DRAIN_S = 3.0
 
-_record_decoder = msgspec.json.Decoder(upstreams.AgentRecord)
-
 
 class BalancerForwardingDaemon:
     """Runs a ``ForwardingBalancer`` and executes its outputs."""
@@ -299,8 +297,8 @@
         for item in changes.items:
             names.add(item.name)
             try:
-                record = _record_decoder.decode(item.spec)
-            except (msgspec.DecodeError, RecursionError) as exc:
+                record = upstreams.decode_record(item.spec)
+            except errors.ObjectError as exc:
                 self._messenger.record_bad_input(exc, item.name)
                 continue
             self._execute(self.core.add_agent(now, record, item.revision))
@@ -352,10 +350,8 @@
         if response.status != OK:
             return
         try:
-            state = msgspec.msgpack.decode(
-                response.body, type=forwarding.PeerState
-            )
-        except (msgspec.DecodeError, RecursionError) as exc:
+            state = forwarding.decode_state(response.body)
+        except errors.WireError as exc:
             self._messenger.record_bad_input(exc, source)
             return
         self._execute(self.core.configure(state.config))
--- a/crocusmux/forwarding.py
+++ b/crocusmux/forwarding.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from crocusmux import errors
 from crocusmux.core.forward import heartbeats
 from crocusmux.core.forward import routes
 from crocusmux.core.forward import segments
@@ -217,3 +218,15 @@
     agents: tuple[upstreams.AgentRecord, ...]
     former_services: tuple[routes.FormerServices, ...] = ()
     evacuated: tuple[str, ...] = ()
+
+
+def decode_state(body: bytes) -> PeerState:
+    """Decodes the state of a peer.
+
+    Raises:
+        errors.WireError: The state is malformed.
+    """
+    try:
+        return msgspec.msgpack.decode(body, type=PeerState)
+    except (msgspec.DecodeError, RecursionError) as exc:
+        raise errors.WireError(str(exc), step="decode state") from exc
