Escape log lines that cannot be printed

Cause: names of services and hosts and the reason of a decline come from other hosts, and the log lines of events held them as they are. One with a line break forged a line.

Change: the detail of an event is escaped if a character of it cannot be printed.

--- a/crocusmux/logs.py
+++ b/crocusmux/logs.py
@@ -106,8 +106,16 @@
 
 
 def format_event(event: outputs.Event) -> str:
-    """Returns the log line of an event."""
+    """Returns the log line of an event.
+
+    Names and reasons in it come from other hosts.  If one of their characters
+    cannot be printed, such as a line break that would forge a line, the detail
+    is escaped.
+    """
+    detail = event.detail
+    if not detail.isprintable():
+        detail = detail.encode("unicode_escape").decode()
     if not event.key:
-        return f"event={event.what} {event.detail}"
+        return f"event={event.what} {detail}"
     flow = segments.format_flow_key(event.key)
-    return f"event={event.what} flow={flow} {event.detail}"
+    return f"event={event.what} flow={flow} {detail}"
--- a/features/bad_input.feature
+++ b/features/bad_input.feature
@@ -78,6 +78,11 @@
       | former_services/0/address | ["198.18.0.1", 1e9] |
       | former_services/0/address | ["", 443]           |
 
+  # Guards against a service, host or reason from another host that forges a log
+  # line.
+  Scenario: Characters that cannot be printed are escaped in log lines
+    Then the log line of a service named "a\nevent=refuse" is "event=wait service=a\nevent=refuse", escaped
+
   # Guards against a flow query to which no reply can be encoded, as its masks
   # have 64 bits.
   Scenario: A query of more flows than a reply can tell about is refused
--- a/features/steps/bad_input_steps.py
+++ b/features/steps/bad_input_steps.py
@@ -9,6 +9,7 @@
 
 from crocusmux import errors
 from crocusmux import forwarding
+from crocusmux import logs
 from crocusmux.core.forward import agent
 from crocusmux.core.forward import balancer
 from crocusmux.core.forward import outputs
@@ -415,6 +416,13 @@
     return msgspec.msgpack.decode(data, type=forwarding.PeerState)
 
 
+@then('the log line of a service named "{name}" is "{line}", escaped')
+def check_log_line(context, name, line):
+    service = name.replace("\\n", "\n")
+    event = outputs.Event("wait", b"", f"service={service}")
+    assert logs.format_event(event) == line, logs.format_event(event)
+
+
 @then(
     "a query of {most:d} flows is decoded and answered, and one of {more:d}"
     " cannot be decoded"
