--- a/crocusmux/core/forward/reports.py
+++ b/crocusmux/core/forward/reports.py
@@ -5,21 +5,28 @@
 import msgspec
 
 from crocusmux import addresses
+from crocusmux import errors
 
 # Larger numbers in a message are bad input.
 MAX_NUMBER = 1e9
+# Number of bits in the masks of a reply to a flow query.
+MAX_QUERY_FLOWS = 64
 
 
-def _check_numbers(message: msgspec.Struct, names: tuple[str, ...]) -> None:
-    """Checks fields with which a balancer or an agent calculates.
+def check_number(name: str, number: float) -> None:
+    """Checks a number with which a balancer or an agent calculates.
 
     Raises:
-        ValueError: A number is negative, infinite or not a number.
+        ValueError: It is negative, not a number or above ``MAX_NUMBER``.
     """
+    if not 0 <= number <= MAX_NUMBER:
+        raise ValueError(f"{name} is out of range: {number}")
+
+
+def check_numbers(message: msgspec.Struct, names: tuple[str, ...]) -> None:
+    """Checks some fields; see ``check_number``."""
     for name in names:
-        number = getattr(message, name)
-        if not 0 <= number <= MAX_NUMBER:
-            raise ValueError(f"{name} is out of range: {number}")
+        check_number(name, getattr(message, name))
 
 
 class Subscribe(msgspec.Struct, frozen=True, tag="s", array_like=True):
@@ -54,9 +61,7 @@
 
     def __post_init__(self) -> None:
         addresses.check(self.address)
-        _check_numbers(
-            self, ("valid_s", "interval_s", "warmup_per_s", "idle_s")
-        )
+        check_numbers(self, ("valid_s", "interval_s", "warmup_per_s", "idle_s"))
 
 
 class LoadReport(msgspec.Struct, frozen=True, tag="l", array_like=True):
@@ -91,7 +96,7 @@
     config_source: str
 
     def __post_init__(self) -> None:
-        _check_numbers(
+        check_numbers(
             self,
             ("slots", "in_progress", "flows", "service_ms", "interval_s"),
         )
@@ -123,7 +128,7 @@
     config_source: str
 
     def __post_init__(self) -> None:
-        _check_numbers(
+        check_numbers(
             self,
             (
                 "slots",
@@ -177,13 +182,18 @@
     Attributes:
         number: Number of the query, increasing within a balancer's run.
         service_tag: Hash of the service to which the flows belong.
-        flows: Flow keys, each with the caller's last acknowledgement.
+        flows: Flow keys, each with the caller's last acknowledgement; at most
+            ``MAX_QUERY_FLOWS``.
     """
 
     number: int
     service_tag: int
     flows: tuple[tuple[bytes, int], ...]
 
+    def __post_init__(self) -> None:
+        if len(self.flows) > MAX_QUERY_FLOWS:
+            raise ValueError(f"too many flows: {len(self.flows)}")
+
 
 class FlowQueryReply(msgspec.Struct, frozen=True, tag="a", array_like=True):
     """An agent's reply to a flow query; flows in neither mask are denied.
@@ -258,3 +268,23 @@
     | FlowDenied
     | OpeningDeclined
 )
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Message)
+
+
+def encode(message: Message) -> bytes:
+    """Returns a message as a datagram."""
+    return _encoder.encode(message)
+
+
+def decode(data: bytes) -> Message:
+    """Decodes a datagram of another daemon.
+
+    Raises:
+        errors.WireError: The message is malformed.
+    """
+    try:
+        return _decoder.decode(data)
+    except (msgspec.DecodeError, RecursionError) as exc:
+        raise errors.WireError(str(exc), step="decode message") from exc
--- a/crocusmux/daemons/forward_balancer.py
+++ b/crocusmux/daemons/forward_balancer.py
@@ -59,8 +59,6 @@
 # second; it forwards segments somewhat longer.
 DRAIN_S = 3.0
 
-_record_decoder = msgspec.json.Decoder(upstreams.AgentRecord)
-
 
 class BalancerForwardingDaemon:
     """Runs a ``ForwardingBalancer`` and executes its outputs."""
@@ -235,6 +233,9 @@
 
     def _on_config_changes(self, changes: forwarding.Changes) -> None:
         for item in changes.items:
+            if item.name != self._adapter.config_name:
+                self._messenger.record_ignored("configuration", item.name)
+                continue
             try:
                 cfg = self._adapter.decode_config(item.spec)
             except errors.ObjectError as exc:
@@ -296,8 +297,8 @@
         for item in changes.items:
             names.add(item.name)
             try:
-                record = _record_decoder.decode(item.spec)
-            except (msgspec.DecodeError, RecursionError) as exc:
+                record = upstreams.decode_record(item.spec)
+            except errors.ObjectError as exc:
                 self._messenger.record_bad_input(exc, item.name)
                 continue
             self._execute(self.core.add_agent(now, record, item.revision))
@@ -349,10 +350,8 @@
         if response.status != OK:
             return
         try:
-            state = msgspec.msgpack.decode(
-                response.body, type=forwarding.PeerState
-            )
-        except (msgspec.DecodeError, RecursionError) as exc:
+            state = forwarding.decode_state(response.body)
+        except errors.WireError as exc:
             self._messenger.record_bad_input(exc, source)
             return
         self._execute(self.core.configure(state.config))
--- a/crocusmux/forwarding.py
+++ b/crocusmux/forwarding.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from crocusmux import errors
 from crocusmux.core.forward import heartbeats
 from crocusmux.core.forward import routes
 from crocusmux.core.forward import segments
@@ -166,6 +167,8 @@
     Attributes:
         store: The object store.
         config_kind: Kind of the configuration object.
+        config_name: Name of the configuration object; others of that kind are
+            ignored.
         agent_kind: Kind of the agents' announcements.
         evacuation_kind: Kind of the objects that are named after the failure
             domains which operators have evacuated.
@@ -185,6 +188,7 @@
 
     store: Store
     config_kind: str
+    config_name: str
     agent_kind: str
     evacuation_kind: str
     ready_path: str
@@ -214,3 +218,15 @@
     agents: tuple[upstreams.AgentRecord, ...]
     former_services: tuple[routes.FormerServices, ...] = ()
     evacuated: tuple[str, ...] = ()
+
+
+def decode_state(body: bytes) -> PeerState:
+    """Decodes the state of a peer.
+
+    Raises:
+        errors.WireError: The state is malformed.
+    """
+    try:
+        return msgspec.msgpack.decode(body, type=PeerState)
+    except (msgspec.DecodeError, RecursionError) as exc:
+        raise errors.WireError(str(exc), step="decode state") from exc
--- a/crocusmux/platform/__main__.py
+++ b/crocusmux/platform/__main__.py
@@ -3,6 +3,13 @@
 Run as ``python -m crocusmux.platform balancer`` or ``... agent``.
 """
 
+import signal
+
+if __name__ == "__main__":
+    # Until the event loop handles it, SIGHUP would end the process.  The
+    # imports below take most of the start.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 import importlib
 import os
 import sys
@@ -25,6 +32,7 @@
     return forwarding.Adapter(
         store=store.Store(cfg.store),
         config_kind="config",
+        config_name="main",
         agent_kind="agents",
         evacuation_kind="evacuations",
         ready_path="/crocusmux/ready",
--- a/features/bad_input.feature
+++ b/features/bad_input.feature
@@ -13,8 +13,8 @@
     Then 500 random objects and changed configurations decode or raise ObjectError
 
   # Guards against settings that fail only after the start of a daemon.
-  Scenario: Any settings file decodes or raises a named error
-    Then 300 random settings files and changed ones decode or raise a named error
+  Scenario: Any settings file decodes or raises SettingsError
+    Then 300 random settings files and changed ones decode or raise SettingsError
 
   # Guards against a crash or leak after a sequence that no test foresees.
   Scenario: A balancer survives any sequence of packets and messages
@@ -29,6 +29,76 @@
   Scenario: A configuration with an impossible port raises one error
     Then a configuration whose route has port 70000 raises ObjectError
 
+  # Guards against a configuration that ends all balancers: it was applied, and
+  # then no subscription and no state for peers could be encoded.
+  Scenario Outline: A configuration that messages cannot carry raises one error
+    Then a configuration with <field> <value> raises ObjectError
+
+    Examples:
+      | field                    | value               |
+      | version                  | 9223372036854775808 |
+      | version                  | -1                  |
+      | limits/idle_timeout_ms   | 1e300               |
+      | limits/idle_timeout_ms   | -1                  |
+      | routes/0/priority        | 9223372036854775808 |
+      | routes/0/priority        | -1                  |
+      | routes/0/timeout_ms      | 1e300               |
+      | routes/0/timeout_ms      | -1                  |
+      | routes/0/target_latency_ms | 1e300             |
+
+  # Guards against a weight for which no service can be chosen.
+  Scenario Outline: A weight that is no share raises one error
+    Then a configuration whose route is split by <weight> raises ObjectError
+
+    Examples:
+      | weight     |
+      | -1         |
+      | 1000000001 |
+
+  # Guards against a configuration that is refused although it can be used.
+  Scenario: A configuration with the largest numbers is told to agents and peers
+    Then a configuration with the largest numbers is encoded and decoded again
+
+  # Guards against the state of a peer that ends a starting balancer: an address
+  # or a number was refused only when it was used.
+  Scenario Outline: A malformed state of a peer cannot be decoded
+    Then the state of a peer with <field> <value> is malformed
+
+    Examples:
+      | field                     | value               |
+      | config/routes/0/address   | ["198.18.0.1", -1]  |
+      | config/routes/0/address   | ["example", 443]    |
+      | config/routes/0/shares    | []                  |
+      | config/routes/0/shares    | [["rounds", -1]]    |
+      | config/routes/0/timeout_s | NaN                 |
+      | config/routes/0/target_s  | Infinity            |
+      | config/routes/0/urgency   | -1                  |
+      | config/idle_s             | NaN                 |
+      | config/version            | -1                  |
+      | former_services/0/address | ["198.18.0.1", 1e9] |
+      | former_services/0/address | ["", 443]           |
+
+  # Guards against a service, host or reason from another host that forges a log
+  # line.
+  Scenario: Characters that cannot be printed are escaped in log lines
+    Then the log line of a service named "a\nevent=refuse" is "event=wait service=a\nevent=refuse", escaped
+
+  # Guards against a flow query to which no reply can be encoded, as its masks
+  # have 64 bits.
+  Scenario: A query of more flows than a reply can tell about is refused
+    Then a query of 64 flows is decoded and answered, and one of 65 cannot be decoded
+
+  # Guards against a subscription that ends an agent: its report, or the compact
+  # form of it, cannot carry the interval at which the balancer gets reports.
+  Scenario Outline: A subscription with a long interval is served by reports
+    Then an agent reports to 29 balancers and to one that asks for <form> reports every <interval> s
+
+    Examples:
+      | form    | interval |
+      | full    | 1e9      |
+      | compact | 1e9      |
+      | compact | 2e6      |
+
   # Guards against a message that crashes an agent, as the agent sends reports
   # to the address in a subscription.
   Scenario: A datagram to an impossible port is dropped
--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -51,6 +51,37 @@
       | GET    | /crocusmux/endpoints/i-1/heartbeat  | nothing                            |
       | POST   | /crocusmux/endpoints/i-1/restart    | nothing                            |
 
+  # Guards against a heartbeat that ends an agent: its report refused the number
+  # of slots, in the timer that sends all reports.
+  Scenario Outline: A heartbeat with a number that no report can carry is rejected
+    When an upstream calls POST /crocusmux/endpoints/i-1/heartbeat with a heartbeat with <field> <value>
+    Then the call is refused as malformed
+
+    Examples:
+      | field           | value               |
+      | max_concurrency | 2147483647          |
+      | max_concurrency | 1000000001          |
+      | max_concurrency | -1                  |
+      | sequence        | -1                  |
+      | sequence        | 9223372036854775808 |
+      | born            | -1                  |
+      | born            | 9223372036854775808 |
+      | warmup_left_ms  | -1                  |
+      | warmup_left_ms  | 1e300               |
+
+  # Guards against a limit that is lower than what a report can carry, or higher.
+  Scenario Outline: A heartbeat with the largest numbers is reported
+    When an upstream calls POST /crocusmux/endpoints/i-1/heartbeat with a heartbeat with <field> <value>
+    Then an agent reports <slots> slots to balancers of either release
+
+    Examples:
+      | field           | value               | slots      |
+      | max_concurrency | 1000000000          | 1000000000 |
+      | max_concurrency | 0                   | 1          |
+      | sequence        | 9223372036854775807 | 4          |
+      | born            | 9223372036854775807 | 4          |
+      | warmup_left_ms  | 1e9                 | 4          |
+
   # Guards against a heartbeat whose fields are mixed up.
   Scenario: A heartbeat is decoded
     When an upstream calls POST /crocusmux/endpoints/i-1/heartbeat with a heartbeat with sequence 7
@@ -113,6 +144,13 @@
       | limits        | {"link_mbps": -1e-9}    | link_mbps     |
       | limits        | {"link_mbps": "5"}      | link_mbps     |
       | limits        | {"link_mbps": true}     | link_mbps     |
+      | heartbeat_ms  | 0                       | heartbeat_ms  |
+      | heartbeat_ms  | 1e10                    | heartbeat_ms  |
+      | bounds        | {"grace_s": -1}         | grace_s       |
+      | port_range    | [0, 7735]               | port_range    |
+      | port_range    | [70000, 70001]          | port_range    |
+      | ip            | "example"               | example       |
+      | app           | "example:8165"          | example       |
 
   # Guards against a start with a bandwidth that JSON does not have.
   Scenario Outline: A bandwidth that is no finite number is rejected
@@ -125,6 +163,11 @@
       | Infinity | JSON      |
       | 1e999    | link_mbps |
 
+  # Guards against a reload that fails with an error nobody catches.
+  Scenario: Settings that are nested too deep are rejected
+    Given settings of a side machine in which an unknown field is nested 20000 deep
+    Then they are refused with an error that names recursion
+
   # Guards against a failed start with the settings of a newer platform.
   Scenario: Unknown fields of the settings are ignored
     Given settings of a side machine in which colour is "blue"
@@ -215,6 +258,15 @@
       | [[[1]],[{"a":{}}],5]  | [[null],[null],5]   |
       | {"a":"[[[","b":[[0]]} | {"a":"[[[","b":[null]} |
       | ["\\"]]]",[2]]        | ["\\"]]]",[2]]      |
+      | [[["a\\"]],[["b         | [[null],[null       |
+      | ["[[[                 | ["[[[               |
+      | ["a\\                 | ["a\\               |
+
+  # Guards against a heartbeat that stops its agent: the time for a string
+  # without an end grew by the square of its length, 6.8 s for 40 KB.
+  Scenario: A string without an end is scanned once
+    When JSON of 200 KB that is one string without an end is pruned
+    Then the document is unchanged after at most 1 s of processor time
 
   # Guards against a heartbeat that is nested too deep and raises an error in the
   # agent's HTTP server.
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -2,6 +2,7 @@
 import ipaddress
 import json
 import random
+import time
 
 from behave import given
 from behave import then
@@ -11,6 +12,9 @@
 from crocusmux import errors
 from crocusmux import jsonlimits
 from crocusmux.core.control import calls
+from crocusmux.core.forward import agent
+from crocusmux.core.forward import outputs
+from crocusmux.core.forward import reports
 from crocusmux.core.forward import routes
 from crocusmux.core.forward import segments
 from crocusmux.daemons import forward
@@ -23,6 +27,27 @@
 from features import store_standin
 
 FLAGS = {"SYN": 2, "ACK": 64, "FIN": 16, "RST": 4, "BOUNCED": 32}
+SIDE_SETTINGS = {
+    "node_name": "side-1",
+    "machine_class": "side",
+    "ip": "10.1.0.13",
+    "zone": "abay",
+    "listen": {
+        "data_addr": "10.1.0.13:8172",
+        "outbound": "10.1.0.13:8162",
+        "readiness": "10.1.0.13:8167",
+        "control": "10.1.0.13:8166",
+    },
+    "port_range": [7720, 7735],
+    "seeds": ["10.1.0.10:8166"],
+    "heartbeat_ms": 1200,
+    "bounds": {"grace_s": 6},
+    "app": "10.1.0.13:8165",
+    "service": "rounds",
+    "contracts": [],
+    "limits": {},
+    "platform": {"address": "10.200.1.7:8169"},
+}
 
 
 def nested(depth):
@@ -208,6 +233,34 @@
     assert beat.address == ("10.0.1.1", 8080)
 
 
+@then("an agent reports {slots:d} slots to balancers of either release")
+def check_reported(context, slots):
+    core = agent.ForwardingAgent("side-1", "rounds", 7, 1.2)
+    for number, compact in enumerate((False, True)):
+        message = reports.Subscribe(
+            "edge",
+            (f"10.0.0.{number}", 7720),
+            5,
+            "",
+            10.0,
+            0.25,
+            False,
+            compact,
+        )
+        core.on_subscribe(99.0, message)
+    core.on_heartbeat(100.0, context.call)
+    sent = [
+        x.message for x in core.on_timer(101.0) if isinstance(x, outputs.ToPeer)
+    ]
+    decoder = msgspec.msgpack.Decoder(reports.Message)
+    decoded = [decoder.decode(msgspec.msgpack.encode(x)) for x in sent]
+    assert [type(x) for x in decoded] == [
+        reports.LoadReport,
+        reports.CompactReport,
+    ]
+    assert [x.slots for x in decoded] == [slots, slots]
+
+
 def desired_state(**changes):
     route = {
         "name": "r1",
@@ -306,27 +359,7 @@
 
 @given("settings of a side machine in which {field:w} is {value}")
 def side_settings(context, field, value):
-    settings = {
-        "node_name": "side-1",
-        "machine_class": "side",
-        "ip": "10.1.0.13",
-        "zone": "abay",
-        "listen": {
-            "data_addr": "10.1.0.13:8172",
-            "outbound": "10.1.0.13:8162",
-            "readiness": "10.1.0.13:8167",
-            "control": "10.1.0.13:8166",
-        },
-        "port_range": [7720, 7735],
-        "seeds": ["10.1.0.10:8166"],
-        "heartbeat_ms": 1200,
-        "bounds": {"grace_s": 6},
-        "app": "10.1.0.13:8165",
-        "service": "rounds",
-        "contracts": [],
-        "limits": {},
-        "platform": {"address": "10.200.1.7:8169"},
-    }
+    settings = dict(SIDE_SETTINGS)
     if value == "missing":
         del settings[field]
     else:
@@ -342,11 +375,20 @@
     )
 
 
+@given(
+    "settings of a side machine in which an unknown field is nested {depth:d}"
+    " deep"
+)
+def deep_settings(context, depth):
+    text = json.dumps({**SIDE_SETTINGS, "colour": "DEEP"}).encode()
+    context.settings = text.replace(b'"DEEP"', nested(depth))
+
+
 @then("they are refused with an error that names {word}")
 def settings_rejected(context, word):
     try:
         host_settings.decode(context.settings)
-    except (msgspec.DecodeError, ValueError) as exc:
+    except errors.SettingsError as exc:
         assert word in str(exc), exc
         return
     raise AssertionError("they were taken")
@@ -522,6 +564,20 @@
     assert context.pruned == text.encode(), context.pruned
 
 
+@when("JSON of {kilobytes:d} KB that is one string without an end is pruned")
+def prune_unterminated(context, kilobytes):
+    context.document = b'"' + b'\\"' * (kilobytes * 1000 // 2)
+    began_at = time.process_time()
+    context.pruned = jsonlimits.prune(context.document)
+    context.took_s = time.process_time() - began_at
+
+
+@then("the document is unchanged after at most {limit:d} s of processor time")
+def check_prune_time(context, limit):
+    assert context.pruned == context.document
+    assert context.took_s <= limit, context.took_s
+
+
 @when("a control message that is nested {depth:d} deep arrives")
 def deep_message(context, depth):
     context.loop = event_loop.PausedLoop()
