Write an agent's record again when the store has lost it

Cause: a balancer dropped an agent as soon as its record was deleted, although the agent still reported, and the agent never noticed. Its open flows were reset, and new balancers did not find it.

Change: a balancer keeps an agent that reports without a record until it counts as lost, and tells it the revision of the store in which the record was missing (reports.Subscribe.record_lost_at). The agent, whose calls about its record move to daemons/agent_record, creates it again if that revision is above the one that it has written and its upstream is neither gone nor dead. The record then carries the revision of its first announcement, which orders the records of one address, so that a late write does not displace the record of a host that has the address now. A deletion that precedes the known record is ignored.

A subscription is one byte longer; the scenario about its size counts the new field like the two before it.

--- a/crocusmux/core/forward/agent_table.py
+++ b/crocusmux/core/forward/agent_table.py
@@ -121,7 +121,9 @@
 
         Two agents cannot share an address.  A host that is gone for good leaves
         its record in the store, and a list is in the order of names, so the
-        revisions tell which record of an address is the newer one.
+        revisions tell which record of an address is the newer one.  A record
+        that was written again counts as old as its first announcement, as the
+        store may apply a late write after the address has been given away.
 
         Args:
             now: Time in seconds.
@@ -136,17 +138,25 @@
         same_address = self._by_host.get(
             self._by_address.get(record.address, "")
         )
-        for known in (previous, same_address):
-            if known is not None and revision < known.revision:
-                return None
+        if previous is not None and (
+            revision < previous.revision or revision < previous.gone_at
+        ):
+            return None
+        upstream = upstreams.Upstream(now, record, revision)
+        if (
+            same_address is not None
+            and same_address is not previous
+            and upstream.announced_at() < same_address.announced_at()
+        ):
+            return None
         if previous is not None and previous.record.same_agent(record):
             previous.record = record
             previous.revision = revision
+            previous.gone_at = 0
             return None
         self.remove(record.host)
         if same_address is not None:
             self.remove(same_address.record.host)
-        upstream = upstreams.Upstream(now, record, revision)
         self._by_host[record.host] = upstream
         self._by_address[record.address] = record.host
         self._local_count += self.is_local(record)
--- a/crocusmux/core/forward/balancer.py
+++ b/crocusmux/core/forward/balancer.py
@@ -137,6 +137,31 @@
             return []
         return [outputs.Event("agent-removed", b"", f"agent={host}", True)]
 
+    def on_record_gone(self, now: float, host: str, revision: int) -> Outputs:
+        """Removes an agent whose record is gone, unless it still reports.
+
+        An agent that reports is told, and kept until it counts as lost.
+
+        Args:
+            now: Time in seconds.
+            host: Name of the agent's host.
+            revision: Revision of the store in which the record is missing.
+        """
+        upstream = self.agent_table.get(host)
+        if upstream is None or revision < upstream.revision:
+            return []
+        if upstream.report is None or upstream.lost(now):
+            return self.remove_agent(host)
+        known = upstream.gone_at
+        upstream.gone_at = max(known, revision)
+        if known:
+            return []
+        detail = f"agent={host} revision={revision}"
+        return [
+            outputs.Event("record-gone", b"", detail, True),
+            *self._subscriptions.make([upstream]),
+        ]
+
     def update_evacuations(
         self,
         now: float,
@@ -535,6 +560,9 @@
             self._next_expiry_at = now + EXPIRY_INTERVAL_S
             idle_s = self.routes.idle_s + IDLE_SLACK_S
             self.flows.expire(now - idle_s)
+            for upstream in self.agent_table.all():
+                if upstream.gone_at and upstream.lost(now):
+                    sent += self.remove_agent(upstream.record.host)
         sent += self._resolver.on_timer(now)
         for pending in self._openings.pop_expired(now):
             # An evacuated upstream may have accepted a flow offered to it.
--- a/crocusmux/core/forward/reports.py
+++ b/crocusmux/core/forward/reports.py
@@ -39,6 +39,9 @@
             takes while it is warming up; 0 if unlimited.
         idle_s: Idle timeout of flows under that configuration, seconds; 0 from
             older releases.
+        record_lost_at: Revision of the store at which the balancer saw that the
+            agent's record is gone; 0 if it is in place, and from older
+            releases.
     """
 
     balancer: str
@@ -51,6 +54,7 @@
     compact: bool = False
     warmup_per_s: float = 0.0
     idle_s: float = 0.0
+    record_lost_at: int = 0
 
     def __post_init__(self) -> None:
         addresses.check(self.address)
--- a/crocusmux/core/forward/subscriptions.py
+++ b/crocusmux/core/forward/subscriptions.py
@@ -23,6 +23,10 @@
 FAST_RESUBSCRIBE_S = 3.0
 # Limit of these subscriptions in a large fleet without any reports.
 MAX_RESUBSCRIPTIONS_PER_S = 2_500
+# Interval between two subscriptions to an agent whose record in the store is
+# lost, until it has written it again; shorter than the subscribe interval of a
+# large fleet.
+RECORD_LOST_INTERVAL_S = 2.0
 # Validity of a subscription in subscribe intervals, as datagrams get lost.
 SUBSCRIPTION_INTERVALS = 5
 
@@ -37,6 +41,7 @@
         "_agent_table",
         "_config_source",
         "_host",
+        "_next_record_check_at",
         "_next_resubscribe_at",
         "_next_slow_resubscribe_at",
         "_next_subscribe_at",
@@ -68,18 +73,24 @@
         self._next_subscribe_at = 0.0
         self._next_resubscribe_at = 0.0
         self._next_slow_resubscribe_at = 0.0
+        self._next_record_check_at = 0.0
 
     def pop_due(self, now: float) -> Messages:
         """Returns the subscriptions that are due, and schedules the next."""
         if now >= self._next_subscribe_at:
             self._next_subscribe_at = now + self._subscribe_interval_s()
             self._schedule_resubscription(now)
+            self._next_record_check_at = now + RECORD_LOST_INTERVAL_S
             return self.make(self._agent_table.all())
+        due: Messages = []
         if now >= self._next_resubscribe_at:
-            due = self._resubscribe(now)
+            due += self._resubscribe(now)
             self._schedule_resubscription(now)
-            return due
-        return []
+        if now >= self._next_record_check_at:
+            self._next_record_check_at = now + RECORD_LOST_INTERVAL_S
+            agents = self._agent_table.all()
+            due += self.make(x for x in agents if x.record_lost_at())
+        return due
 
     def make(
         self, agents: Iterable[upstreams.Upstream], report_now: bool = False
@@ -103,7 +114,7 @@
         # Few different subscriptions go to many agents.
         @functools.cache
         def subscription(
-            is_local: bool, warmup_per_s: float
+            is_local: bool, warmup_per_s: float, record_lost_at: int
         ) -> reports.Subscribe:
             return reports.Subscribe(
                 self._host,
@@ -116,6 +127,7 @@
                 compact=True,
                 warmup_per_s=warmup_per_s,
                 idle_s=idle_s,
+                record_lost_at=record_lost_at,
             )
 
         return [
@@ -124,6 +136,7 @@
                 subscription(
                     table.is_local(upstream.record),
                     self._routes.warmup_per_s(upstream.record.service),
+                    upstream.record_lost_at(),
                 ),
             )
             for upstream in agents
--- a/crocusmux/core/forward/upstreams.py
+++ b/crocusmux/core/forward/upstreams.py
@@ -58,6 +58,8 @@
             nothing keeps an object's revision, so without it a restarted agent
             would leave the revision on which its predecessor's deletion
             depends.
+        announced: Revision of this incarnation's first announcement if the
+            record was lost and written again; 0 in a first announcement.
     """
 
     host: str
@@ -66,14 +68,20 @@
     address: tuple[str, int]
     control: tuple[str, int]
     incarnation: int = 0
+    announced: int = 0
 
     def __post_init__(self) -> None:
         addresses.check(self.address)
         addresses.check(self.control)
 
     def same_agent(self, other: "AgentRecord") -> bool:
-        """Returns True if the records differ at most by the incarnation."""
-        renewed = msgspec.structs.replace(other, incarnation=self.incarnation)
+        """Returns True if the records differ at most by the announcement.
+
+        That is, by the incarnation and its first revision.
+        """
+        renewed = msgspec.structs.replace(
+            other, incarnation=self.incarnation, announced=self.announced
+        )
         return self == renewed
 
 
@@ -83,6 +91,8 @@
     Attributes:
         record: The agent's announcement.
         revision: Revision of that record in the store; 0 if it is unknown.
+        gone_at: Revision of the store in which the record was missing; 0 while
+            it is in place.
         added_at: Time at which the agent was added, seconds.
         tag: Hash of the service name, as sent with segments.
         report: The newest load report; None before the first.
@@ -97,6 +107,7 @@
         "added_at",
         "avoided",
         "backoff_until",
+        "gone_at",
         "record",
         "report",
         "reported_at",
@@ -110,6 +121,7 @@
     ) -> None:
         self.record = record
         self.revision = revision
+        self.gone_at = 0
         self.added_at = now
         self.tag = service_tag(record.service)
         self.report: reports.LoadReport | None = None
@@ -118,6 +130,20 @@
         self.avoided = False
         self.backoff_until = float("-inf")
 
+    def announced_at(self) -> int:
+        """Returns the revision that orders the records of one address.
+
+        A record that was lost and written again is as old as before.
+        """
+        return self.record.announced or self.revision
+
+    def record_lost_at(self) -> int:
+        """Returns the revision of the store in which the record was lost.
+
+        0 if it is in place.
+        """
+        return self.gone_at
+
     def report_age_s(self, now: float) -> float:
         """Returns the time since the last report, seconds."""
         return now - self.reported_at
--- a/crocusmux/daemons/forward_agent.py
+++ b/crocusmux/daemons/forward_agent.py
@@ -5,18 +5,17 @@
 import logging
 import random
 
-import msgspec
 from tornado import httputil
 
 from crocusmux import errors
 from crocusmux import forwarding
-from crocusmux.core.control import calls
 from crocusmux.core.forward import agent
 from crocusmux.core.forward import heartbeats
 from crocusmux.core.forward import outputs
 from crocusmux.core.forward import reports
 from crocusmux.core.forward import segments
 from crocusmux.core.forward import upstreams
+from crocusmux.daemons import agent_record
 from crocusmux.daemons import forward
 from crocusmux.daemons import process
 from crocusmux.daemons import udp
@@ -27,10 +26,6 @@
 BAD_REQUEST = 400
 CONFLICT = 409
 METRICS_PATH = "/metrics"
-# Longest wait between two attempts to announce the agent.
-MAX_ANNOUNCE_BACKOFF_S = 1.0
-# Time limit for deleting the announcement when the upstream is gone.
-WITHDRAW_TIMEOUT_S = 2.0
 # Time for requests in progress to finish when the agent stops.  It is short, as
 # the upstream's flows stall until the agent is back.
 DRAIN_TIMEOUT_S = 0.5
@@ -49,10 +44,7 @@
         self._cfg = cfg
         self._adapter = adapter
         self._loop = asyncio.get_running_loop()
-        self._rng = rng
         self._incarnation = rng.getrandbits(32)
-        # Revision of the own announcement in the store; None until it is known.
-        self._record_revision: int | None = None
         self.core = agent.ForwardingAgent(
             cfg.host,
             cfg.service,
@@ -60,6 +52,22 @@
             cfg.heartbeat_s,
             detect_outliers=cfg.detect_outliers,
         )
+        record = upstreams.AgentRecord(
+            host=cfg.host,
+            service=cfg.service,
+            failure_domain=cfg.failure_domain,
+            address=cfg.segments,
+            control=cfg.messages,
+            incarnation=self._incarnation,
+        )
+        self._record_keeper = agent_record.AgentRecordKeeper(
+            adapter.store,
+            adapter.agent_kind,
+            record,
+            rng,
+            first_start=cfg.first_start,
+            upstream_alive=lambda: not self._upstream_gone(),
+        )
         self._tasks: set[asyncio.Task] = set()
         self._messenger = forward.Messenger(
             cfg.messages, self._on_message, self._loop.time
@@ -81,7 +89,7 @@
         for address in {cfg.readiness, cfg.metrics} - {cfg.control}:
             self._servers.append(forward.serve(address, self._on_request))
         forward.supervise(self._tasks, self._tick())
-        forward.supervise(self._tasks, self._announce())
+        forward.supervise(self._tasks, self._record_keeper.run())
 
     async def stop(self) -> None:
         """Declines new flows, and withdraws if the upstream is gone.
@@ -95,9 +103,9 @@
         if upstream_available:
             await process.wait_until(self._no_requests, DRAIN_TIMEOUT_S)
         else:
-            limit_s = self._cfg.grace_s - WITHDRAW_TIMEOUT_S
+            limit_s = self._cfg.grace_s - agent_record.WITHDRAW_TIMEOUT_S
             if await process.wait_until(self._upstream_gone, limit_s):
-                await self._withdraw()
+                await self._record_keeper.withdraw()
         for task in list(self._tasks):
             task.cancel()
 
@@ -125,6 +133,7 @@
         now = self._loop.time()
         if isinstance(message, reports.Subscribe):
             self._execute(self.core.on_subscribe(now, message))
+            self._record_keeper.on_subscribe(message)
         elif isinstance(message, reports.FlowQuery):
             self._execute(self.core.on_flow_query(now, message, sender))
 
@@ -157,71 +166,6 @@
             self._execute(self.core.on_timer(self._loop.time()))
             await asyncio.sleep(agent.TIMER_INTERVAL_S)
 
-    async def _announce(self) -> None:
-        """Writes the store object by which balancers find this agent."""
-        cfg = self._cfg
-        record = upstreams.AgentRecord(
-            host=cfg.host,
-            service=cfg.service,
-            failure_domain=cfg.failure_domain,
-            address=cfg.segments,
-            control=cfg.messages,
-            incarnation=self._incarnation,
-        )
-        spec = msgspec.json.encode(record)
-        failures = 0
-        while True:
-            try:
-                self._record_revision = await self._write_record(spec)
-            except errors.PlatformError as exc:
-                if failures == 0:
-                    logger.warning("event=announce-failed error=%r", str(exc))
-                wait_s = calls.backoff_s(failures, self._rng)
-                failures += 1
-                await asyncio.sleep(min(wait_s, MAX_ANNOUNCE_BACKOFF_S))
-            else:
-                logger.info("event=announced failures=%d", failures)
-                return
-
-    async def _write_record(self, spec: bytes) -> int:
-        """Creates or replaces the record, by the call that likely succeeds.
-
-        Returns its revision.
-
-        A restarted agent replaces the record that it finds: the host keeps its
-        addresses, but its service may have changed.
-        """
-        store, kind = self._adapter.store, self._adapter.agent_kind
-        if not self._cfg.first_start:
-            try:
-                return await store.replace(kind, self._cfg.host, spec)
-            except errors.NotFoundError:
-                logger.info("event=no-record outcome=create")
-        try:
-            return await store.create(kind, self._cfg.host, spec)
-        except errors.ConflictError:
-            return await store.replace(kind, self._cfg.host, spec)
-
-    async def _withdraw(self) -> None:
-        """Deletes the record that this incarnation has written.
-
-        The store may apply the deletion after the agent's next start, whose
-        record has another revision and remains.
-        """
-        revision = self._record_revision
-        if revision is None:
-            logger.info("event=not-withdrawn reason=not-announced")
-            return
-        store, kind = self._adapter.store, self._adapter.agent_kind
-        try:
-            await asyncio.wait_for(
-                store.delete(kind, self._cfg.host, revision), WITHDRAW_TIMEOUT_S
-            )
-        except (errors.PlatformError, TimeoutError) as exc:
-            logger.warning("event=withdraw-failed error=%r", str(exc))
-        else:
-            logger.info("event=withdrawn")
-
     def _on_request(self, req: httputil.HTTPServerRequest) -> tuple[int, bytes]:
         if req.path == self._adapter.ready_path:
             return OK, b""
--- a/crocusmux/daemons/forward_balancer.py
+++ b/crocusmux/daemons/forward_balancer.py
@@ -286,8 +286,9 @@
         if changes.full:
             self.core.agent_table.complete = True
             removed = self.core.agent_table.hosts() - names
+        now, revision = self._loop.time(), changes.revision
         for host in removed:
-            self._execute(self.core.remove_agent(host))
+            self._execute(self.core.on_record_gone(now, host, revision))
 
     def _add_agents(self, changes: forwarding.Changes) -> set[str]:
         """Adds the agents of a list or watch; returns their object names."""
--- a/features/forward_balancer.feature
+++ b/features/forward_balancer.feature
@@ -612,10 +612,10 @@
     And a subscription with the rate 12.5 is read by an older release
 
   # Guards against larger control traffic of deployments without rates.
-  Scenario: The rate and the idle timeout add one byte each to a subscription
+  Scenario: The rate, the idle timeout and a record in place add one byte each to a subscription
     Given a balancer with the agents a, b, c of rounds and d of wheelbook
     When 2.1 s pass
-    Then its subscriptions are 2 bytes longer than those of an older release
+    Then its subscriptions are 3 bytes longer than those of an older release
 
   # Guards against new flows to upstreams that are to be left alone: by the
   # preference for the own domain, for lack of room in it, or at random.
