Write an agent's record again when a former run has overwritten it

Cause: the store may apply a write seconds late, after the record of the agent's next run. The record of the former run then stayed. If it named another service, balancers ignored the reports of the running agent.

Change: a balancer also counts a record as lost whose incarnation is not the one that reports, and tells the agent the revision of that record. The agent ignores it unless the revision is above that of its own newest write, so a restart costs no further call.

A restarted agent makes one write in the 30 s after its start, as before.

--- a/crocusmux/core/forward/agent_table.py
+++ b/crocusmux/core/forward/agent_table.py
@@ -219,7 +219,10 @@
             a newer report was recorded.
         """
         upstream = self._by_host.get(report.host)
-        if upstream is None or upstream.record.service != report.service:
+        if upstream is None:
+            return False
+        upstream.reporting_incarnation = report.incarnation
+        if upstream.record.service != report.service:
             return False
         previous = upstream.report
         if (
--- a/crocusmux/core/forward/reports.py
+++ b/crocusmux/core/forward/reports.py
@@ -40,8 +40,8 @@
         idle_s: Idle timeout of flows under that configuration, seconds; 0 from
             older releases.
         record_lost_at: Revision of the store at which the balancer saw that the
-            agent's record is gone; 0 if it is in place, and from older
-            releases.
+            agent's record is gone or of another incarnation; 0 if it is in
+            place, and from older releases.
     """
 
     balancer: str
--- a/crocusmux/core/forward/upstreams.py
+++ b/crocusmux/core/forward/upstreams.py
@@ -96,6 +96,8 @@
         added_at: Time at which the agent was added, seconds.
         tag: Hash of the service name, as sent with segments.
         report: The newest load report; None before the first.
+        reporting_incarnation: Incarnation of the agent that sent the last
+            report, also if the record names another service; None before.
         reported_at: Time of that report, seconds; negative infinity before.
         unreported_offers: New flows offered since that report.
         avoided: True if, since that report, an opening was not answered or was
@@ -111,6 +113,7 @@
         "record",
         "report",
         "reported_at",
+        "reporting_incarnation",
         "revision",
         "tag",
         "unreported_offers",
@@ -125,6 +128,7 @@
         self.added_at = now
         self.tag = service_tag(record.service)
         self.report: reports.LoadReport | None = None
+        self.reporting_incarnation: int | None = None
         self.reported_at = float("-inf")
         self.unreported_offers = 0
         self.avoided = False
@@ -140,9 +144,14 @@
     def record_lost_at(self) -> int:
         """Returns the revision of the store in which the record was lost.
 
-        0 if it is in place.
+        It is lost if it is gone, or if another incarnation of the agent than
+        the one that reports has overwritten it.  0 if it is in place.
         """
-        return self.gone_at
+        if self.gone_at or self.reporting_incarnation is None:
+            return self.gone_at
+        if self.reporting_incarnation == self.record.incarnation:
+            return 0
+        return self.revision
 
     def report_age_s(self, now: float) -> float:
         """Returns the time since the last report, seconds."""
--- a/features/agent_records.feature
+++ b/features/agent_records.feature
@@ -109,3 +109,35 @@
     And the records of agents 1 and 2 are deleted
     And 20 s pass with heartbeats of upstreams 1 and 2
     Then the store lists 2 agents
+
+  # Guards against an agent that is unknown to balancers which start later, or that
+  # gets no flows: the store applied a write of its former run after its own.
+  Scenario Outline: A balancer tells an agent that its record was overwritten
+    Given a balancer that knows agent x by its record at revision 10
+    When a former run of agent x, of <service>, is listed at revision 12
+    Then in the next 5 s agent x is told 2 times or more that it was lost at 12
+    When agent x is listed at revision 14
+    Then in the next 5 s agent x is told 2 times or more that it was lost at 0
+    And agent x gets new flows
+
+    Examples:
+      | service   |
+      | rounds    |
+      | wheelbook |
+
+  # Guards against a record of a former run that stays in the store.
+  Scenario: A record that a late write has overwritten is written again
+    Given a store with a route to rounds, 2 balancers and 2 agents of rounds
+    When the agent of host 1 is replaced by a new one
+    And 1 s pass with heartbeats of upstreams 1 and 2
+    And a write of the former agent of host 1 is applied late
+    And 10 s pass with heartbeats of upstreams 1 and 2
+    Then the record of host 1 is of the running agent
+
+  # Guards against calls to the store at each restart of an agent: balancers hear
+  # of the new incarnation before they see its record.
+  Scenario: A restarted agent writes its record once
+    Given a store with a route to rounds, 2 balancers and 2 agents of rounds
+    When the agent of host 1 is replaced by a new one
+    And 30 s pass with heartbeats of upstreams 1 and 2
+    Then the agents have written to the store 3 times
--- a/features/steps/agent_records_steps.py
+++ b/features/steps/agent_records_steps.py
@@ -12,9 +12,9 @@
 REPORT_INTERVAL_S = 0.25
 
 
-def record_of(host, service="rounds", **changes):
+def record_of(host, service="rounds", incarnation=1, **changes):
     record = balancer_sample.record(host, service, IP)
-    return msgspec.structs.replace(record, incarnation=1, **changes)
+    return msgspec.structs.replace(record, incarnation=incarnation, **changes)
 
 
 def add_agent(context, record, revision):
@@ -172,3 +172,25 @@
 def check_not_dropped(context):
     for table, known in context.known_agents:
         assert set(map(id, table.all())) == set(map(id, known))
+
+
+@when(
+    "a former run of agent x, of {service}, is listed at revision {revision:d}"
+)
+def former_run_listed(context, service, revision):
+    record = record_of("x", service, incarnation=9)
+    add_agent(context, record, revision)
+
+
+@when("a write of the former agent of host 1 is applied late")
+def late_write(context):
+    item = context.standin.objects["agents", "agent-1"]
+    former = {**item["spec"], "incarnation": 1}
+    context.standin.put("agents", "agent-1", former)
+
+
+@then("the record of host 1 is of the running agent")
+def check_running_incarnation(context):
+    item = context.standin.objects["agents", "agent-1"]
+    running = context.daemons["agent", 1]._incarnation
+    assert item["spec"]["incarnation"] == running, item
