Learn the services of skipped configurations from a peer

Cause: a balancer that gets a configuration which is not the successor of its own knows nothing of the versions between. It does not query the agents of their services, and resets the flows that others opened under them.

Change: it asks a peer for its state, as at the start, and learns the former services.

Result: the new scenario fails without the change (wheelbook is not known within 3 s) and passes now. A balancer that skips nothing asks no peer.

--- a/crocusmux/daemons/forward_balancer.py
+++ b/crocusmux/daemons/forward_balancer.py
@@ -1,7 +1,7 @@
 """Forwarding balancer daemon: sockets, timers, HTTP, store and peers."""
 
 import asyncio
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable
 import itertools
 import logging
 import math
@@ -10,18 +10,16 @@
 import msgspec
 from tornado import httputil
 
-from crocusmux import addresses
 from crocusmux import errors
 from crocusmux import forwarding
 from crocusmux.core.forward import balancer
 from crocusmux.core.forward import evacuations
-from crocusmux.core.forward import explanation
 from crocusmux.core.forward import outputs
 from crocusmux.core.forward import pacing
 from crocusmux.core.forward import reports
-from crocusmux.core.forward import routes
 from crocusmux.core.forward import segments
 from crocusmux.core.forward import upstreams
+from crocusmux.daemons import explain_request
 from crocusmux.daemons import follow
 from crocusmux.daemons import forward
 from crocusmux.daemons import process
@@ -31,7 +29,6 @@
 logger = logging.getLogger(__name__)
 
 OK = 200
-BAD_REQUEST = 400
 NOT_FOUND = 404
 UNAVAILABLE = 503
 STATE_PATH = "/state"
@@ -55,6 +52,11 @@
 # Attempts to learn the former services of routes once the store has answered.
 # All peers may be starting as well, and then nobody knows them.
 MAX_HISTORY_ATTEMPTS = 10
+# Peers that are asked about configurations that the balancer has skipped.
+MAX_SKIP_PEERS = 3
+# Longest delay of that, so that balancers that skip the same configuration do
+# not ask together.
+MAX_SKIP_DELAY_S = 0.5
 # A balancer leaves the rotation after two failed readiness checks, which take a
 # second; it forwards segments somewhat longer.
 DRAIN_S = 3.0
@@ -91,6 +93,8 @@
         self._stale_since: float | None = None
         self._knows_former_services = cfg.first_start
         self._list_task: asyncio.Task | None = None
+        # Waits to ask a peer about skipped configurations.
+        self._skip_task: asyncio.Task | None = None
         self._hedge_timer: asyncio.TimerHandle | None = None
         self._pacer = pacing.BulkPacer(cfg.link_mbps)
         self._pace_timer: asyncio.TimerHandle | None = None
@@ -240,7 +244,31 @@
             except errors.ObjectError as exc:
                 self._messenger.record_bad_input(exc, item.name)
                 continue
+            before = self.core.routes.version
             self._execute(self.core.configure(cfg))
+            skipped = 0 < before < cfg.version - 1
+            if skipped and self._skip_task is None:
+                self._skip_task = process.start_task(
+                    self._tasks, self._learn_skipped(before)
+                )
+
+    async def _learn_skipped(self, before: int) -> None:
+        """Asks a peer for the services of routes in skipped configurations.
+
+        Args:
+            before: Version before them.  A peer that has none newer than this
+                knows none of them either.
+        """
+        sources = {f"{ip}:{port}" for ip, port in self._cfg.seeds}
+        sources.add(self.core.newest_config[1])
+        peers = sorted(sources - {self._own_source, ""})
+        self._rng.shuffle(peers)
+        await asyncio.sleep(self._rng.uniform(0, MAX_SKIP_DELAY_S))
+        self._skip_task = None
+        for source in peers[:MAX_SKIP_PEERS]:
+            if await self._fetch_state(source) > before:
+                return
+        logger.warning("event=history-unknown before=%d", before)
 
     def _on_evacuation_changes(self, changes: forwarding.Changes) -> None:
         names = self._check_domains(item.name for item in changes.items)
@@ -343,25 +371,32 @@
         """Returns True once all kinds of objects have been listed."""
         return all(follower.listed for follower in self._followers)
 
-    async def _fetch_state(self, source: str) -> None:
+    async def _fetch_state(self, source: str) -> int:
+        """Applies the state of a peer.
+
+        Returns:
+            The version of its configuration; 0 if it has none, or if it does
+            not answer.
+        """
         response = await self._fetch_http(
             "GET", f"http://{source}{STATE_PATH}", None, FETCH_TIMEOUT_S
         )
         if response.status != OK:
-            return
+            return 0
         try:
             state = msgspec.msgpack.decode(
                 response.body, type=forwarding.PeerState
             )
         except (msgspec.DecodeError, RecursionError) as exc:
             self._messenger.record_bad_input(exc, source)
-            return
+            return 0
         self._execute(self.core.configure(state.config))
         self._learn_former_services(state, source)
         if not self._agent_follower.listed:
             for record in state.agents:
                 self._execute(self.core.add_agent(self._loop.time(), record))
         self._learn_evacuations(state)
+        return state.config.version
 
     def _learn_evacuations(self, state: forwarding.PeerState) -> None:
         """Adds the evacuated domains of a peer until the store has answered.
@@ -412,7 +447,9 @@
         if req.path == METRICS_PATH:
             return OK, self._messenger.metrics.render()
         if req.path == EXPLAIN_PATH:
-            return explain(self.core, self._loop.time(), req.arguments)
+            return explain_request.explain(
+                self.core, self._loop.time(), req.arguments
+            )
         return NOT_FOUND, b""
 
     def _state(self) -> forwarding.PeerState:
@@ -426,61 +463,6 @@
         )
 
 
-def explain(
-    core: balancer.ForwardingBalancer,
-    now: float,
-    arguments: Mapping[str, Sequence[bytes]],
-) -> tuple[int, bytes]:
-    """Explains where a balancer would place a new flow.
-
-    Args:
-        core: The balancer.
-        now: Time in seconds.
-        arguments: Query arguments of the request.
-
-    Returns:
-        Status and body of the response: an ``Explanation`` as JSON, or one line
-        with the reason for its absence.
-    """
-    try:
-        caller = _address_argument(arguments, "caller")
-        address = _address_argument(arguments, "address")
-    except ValueError as exc:
-        return BAD_REQUEST, f"{exc}\n".encode()
-    key = routes.encode_flow_key(caller, address)
-    found = core.explain(now, key)
-    if found.outcome == explanation.IGNORED:
-        missing = {
-            explanation.IGNORED_NO_CONFIGURATION: b"no configuration",
-            explanation.IGNORED_NO_EVACUATIONS: b"no list of evacuations",
-        }[found.reason]
-        return UNAVAILABLE, b"the balancer has %s yet\n" % missing
-    if found.outcome == explanation.REFUSED:
-        text = f"no route for {address[0]}:{address[1]}"
-        text += f" in configuration version {found.version}\n"
-        return NOT_FOUND, text.encode()
-    return OK, msgspec.json.encode(found)
-
-
-def _address_argument(
-    arguments: Mapping[str, Sequence[bytes]], name: str
-) -> forwarding.Address:
-    """Returns an address from a query.
-
-    Raises:
-        ValueError: It is missing, repeated or not ``IP:PORT``.
-    """
-    values = arguments.get(name, ())
-    if len(values) != 1:
-        raise ValueError(f"give {name}=IP:PORT once")
-    try:
-        address = addresses.split(values[0].decode())
-        addresses.check(address)
-    except ValueError as exc:
-        raise ValueError(f"{name}: {exc}") from exc
-    return address
-
-
 def run(
     cfg: forwarding.HostSettings,
     make_adapter: Callable[[forwarding.HostSettings], forwarding.Adapter],
--- a/crocusmux/daemons/process.py
+++ b/crocusmux/daemons/process.py
@@ -71,7 +71,7 @@
 
 
 def start_task(
-    tasks: set[asyncio.Task], awaitable: Awaitable[None]
+    tasks: set[asyncio.Task], awaitable: Awaitable[object]
 ) -> asyncio.Task:
     """Runs an awaitable as a task, referenced by ``tasks`` until it ends."""
     task = asyncio.ensure_future(awaitable)
--- a/features/forward_path.feature
+++ b/features/forward_path.feature
@@ -71,6 +71,22 @@
     Then the upstream that answered gets it once and the other one nothing
     And the caller gets the answer
 
+  # Guards against fault FLOW (a): a balancer that skipped a configuration did not
+  # find the flows that others had opened under it.
+  Scenario: A balancer learns the services of a route in a skipped configuration
+    Given a store with a route to rounds, 2 balancers and 2 agents of rounds
+    When the store does not answer balancer 2, and no peer tells it of changes
+    And the route moves to wheelbook and then back to rounds
+    And the store answers balancer 2 again
+    Then balancer 2 looks flows of the route up at wheelbook as well within 3 s
+
+  # Guards against a request to a peer at each of thousands of changes a day.
+  Scenario: A balancer that skips no configuration asks no peer for its state
+    Given a store with a route to rounds, 2 balancers and 2 agents of rounds
+    When the route moves to wheelbook and then back to rounds
+    And 3 s pass on all hosts
+    Then balancer 2 has asked no peer for its state
+
   # Guards against two calls to the store by each agent after a loss of power: a
   # restarted agent created its record, which exists, and then replaced it.
   Scenario: An agent announces itself with one call at its first and later starts
--- a/features/steps/forward_path_steps.py
+++ b/features/steps/forward_path_steps.py
@@ -8,6 +8,7 @@
 from behave import when
 
 from crocusmux import forwarding
+from crocusmux.core.forward import routes
 from crocusmux.core.forward import segments
 from crocusmux.daemons import forward_agent
 from crocusmux.daemons import forward_balancer
@@ -347,6 +348,67 @@
     )
 
 
+@when("the store does not answer balancer 2, and no peer tells it of changes")
+def isolate_second(context):
+    daemon = context.daemons["balancer", 2]
+    store = daemon._adapter.store
+    context.store_fetch = store._fetch
+
+    async def never_answer(method, url, body, timeout_s):
+        del method, url, body, timeout_s
+        await asyncio.sleep(1.0)
+        return http.calls.Response(status=503)
+
+    store._fetch = never_answer
+    daemon._check_staleness = lambda now: None
+    context.standin.cut_watches()
+
+
+@when("the store answers balancer 2 again")
+def reconnect_second(context):
+    context.daemons["balancer", 2]._adapter.store._fetch = context.store_fetch
+
+
+@when("the route moves to wheelbook and then back to rounds")
+def move_route_twice(context):
+    first = context.daemons["balancer", 1].core
+    daemon = context.daemons["balancer", 2]
+    context.state_requests = []
+    fetch = daemon._fetch_http
+
+    def record_fetch(method, url, body, timeout_s):
+        context.state_requests.append(url)
+        return fetch(method, url, body, timeout_s)
+
+    daemon._fetch_http = record_fetch
+    for version, service in ((2, "wheelbook"), (3, "rounds")):
+        publish_routes(context, version, [8443], service)
+        wait_until(
+            context, lambda version=version: first.routes.version == version
+        )
+
+
+@then(
+    "balancer 2 looks flows of the route up at wheelbook as well within"
+    " {seconds:d} s"
+)
+def knows_skipped_service(context, seconds):
+    table = context.daemons["balancer", 2].core.routes
+    key = routes.encode_flow_key((CALLER_IP, 4000), ROUTE)
+    expected = ("rounds", "wheelbook")
+    wait_until(
+        context,
+        lambda: table.version == 3 and table.possible_services(key) == expected,
+        seconds,
+    )
+
+
+@then("balancer 2 has asked no peer for its state")
+def no_state_requests(context):
+    assert context.daemons["balancer", 2].core.routes.version == 3
+    assert not context.state_requests, context.state_requests
+
+
 @when("the caller acknowledges it through balancer {number:d}")
 def acknowledge(context, number):
     ack = context.answer.seq + 1
