Accept flows again after a deregistration that was late

Cause: a deregistration names no boot. One that arrived after the upstream had restarted under the same id counted for the new boot, which then got no flow for the rest of its life.

Change: a heartbeat of the current boot that accepts flows ends the deregistration if its number shows that it was sent after the call arrived. Heartbeats that were sent before and arrive later do not.

--- a/crocusmux/core/forward/agent.py
+++ b/crocusmux/core/forward/agent.py
@@ -342,6 +342,7 @@
     def on_heartbeat(self, now: float, beat: heartbeats.Heartbeat) -> Outputs:
         """Applies a heartbeat, and reports a change of ``accepting``."""
         before = self.lifecycle.current
+        left = self.lifecycle.deregistered
         if not self.lifecycle.on_heartbeat(now, beat):
             detail = f"upstream={beat.upstream} sequence={beat.sequence}"
             return [outputs.Event("heartbeat-late", b"", detail, True)]
@@ -361,6 +362,10 @@
             sent.append(outputs.Event("upstream-started", b"", detail, True))
             if self._health is not None:
                 self._health.restart()
+        elif left and not self.lifecycle.deregistered:
+            detail = f"upstream={beat.upstream} sequence={beat.sequence}"
+            event = outputs.Event("deregistration-late", b"", detail, True)
+            sent.append(event)
         if self._health is not None:
             self._health.learn_until(now + beat.warmup_s)
             self._health.slots = beat.slots
@@ -371,7 +376,7 @@
         beat = self.lifecycle.current
         if beat is not None and beat.upstream != upstream:
             return []
-        self.lifecycle.deregistered = True
+        self.lifecycle.deregister(now)
         detail = f"upstream={upstream}"
         sent: Outputs = [outputs.Event("upstream-left", b"", detail, True)]
         return sent + self._report_change(now)
--- a/crocusmux/core/forward/heartbeats.py
+++ b/crocusmux/core/forward/heartbeats.py
@@ -1,5 +1,7 @@
 """Heartbeats of an agent's upstream, and which of its boots is current."""
 
+import math
+
 import msgspec
 
 # Heartbeat intervals without a heartbeat after which one is overdue.
@@ -42,6 +44,10 @@
     a partition may delay several heartbeats of an earlier boot.  Between boots
     of the same ``born_ms`` two heartbeats in a row suffice.
 
+    An announcement of the end names no boot, so it may have been delayed and be
+    that of an earlier one.  A heartbeat of the current boot that accepts flows
+    and was sent after the announcement arrived shows this.
+
     Attributes:
         current: Newest heartbeat of the current boot; None before the first.
         heartbeat_at: Time at which it arrived, seconds.
@@ -50,6 +56,8 @@
 
     __slots__ = (
         "_candidate",
+        "_deregistered_at",
+        "_first_later_sequence",
         "_interval_s",
         "_started_at",
         "current",
@@ -65,6 +73,8 @@
         self._interval_s = interval_s
         self._started_at: float | None = None
         self._candidate: Heartbeat | None = None
+        self._deregistered_at = 0.0
+        self._first_later_sequence = 0
 
     def start(self, now: float) -> None:
         """Records, in the first call, since when heartbeats can arrive."""
@@ -87,12 +97,38 @@
         if known is not None and not self._replaces(now, known, beat):
             return False
         self._candidate = None
-        if known is None or not same_boot(known, beat):
+        if (
+            known is None
+            or not same_boot(known, beat)
+            or self._contradicts_end(now, beat)
+        ):
             self.deregistered = False
         self.current = beat
         self.heartbeat_at = now
         return True
 
+    def deregister(self, now: float) -> None:
+        """Records that the upstream announced its end."""
+        self.deregistered = True
+        self._deregistered_at = now
+        if self.current is None:
+            return
+        intervals = math.floor((now - self.heartbeat_at) / self._interval_s)
+        # One more for the time that the last heartbeat took to arrive.
+        sent = self.current.sequence + intervals + 1
+        self._first_later_sequence = sent + 1
+
+    def _contradicts_end(self, now: float, beat: Heartbeat) -> bool:
+        """Returns True if a boot that announced its end would not send this.
+
+        Heartbeats that were sent before the announcement may arrive after it.
+        """
+        return (
+            not beat.draining
+            and beat.sequence >= self._first_later_sequence
+            and now - self._deregistered_at >= self._interval_s
+        )
+
     def acknowledges(self, beat: Heartbeat) -> bool:
         """Returns True if ``beat``, or a newer one of its boot, was applied."""
         known = self.current
--- a/features/forward_agent.feature
+++ b/features/forward_agent.feature
@@ -14,6 +14,18 @@
     And a balancer sends an opening
     Then the opening is declined as "leaving"
 
+  # Guards against an upstream that gets no flow for the rest of its life: a call
+  # of its former boot, which had the same id, arrived after its restart.
+  Scenario: A deregistration that arrives late stops new flows for a short time
+    Given an agent of rounds whose upstream is ready
+    When a deregistration with the id of the upstream arrives
+    And a balancer sends an opening
+    Then the opening is declined as "leaving"
+    When 4 s pass with heartbeats of the upstream
+    Then the balancers have been told that the upstream accepts flows
+    When a balancer sends an opening
+    Then the upstream gets it
+
   # Guards against new flows at a draining upstream whose agent restarted.
   Scenario: An agent that knows no heartbeat declines new flows
     Given an agent of rounds without a heartbeat
--- a/features/steps/forward_agent_steps.py
+++ b/features/steps/forward_agent_steps.py
@@ -102,6 +102,17 @@
     context.core.on_heartbeat(context.now, beat)
 
 
+@when("a deregistration with the id of the upstream arrives")
+def deregistration_arrives(context):
+    beat = context.core.lifecycle.current
+    context.core.on_deregister(context.now, beat.upstream)
+
+
+@then("the balancers have been told that the upstream accepts flows")
+def check_told_accepting(context):
+    assert context.told == [True], context.told
+
+
 @when("the upstream answers the opening with sequence {seq:d}")
 def answers_opening(context, seq):
     from_upstream(context, segment(context.key, False, opening=True, seq=seq))
@@ -653,10 +664,14 @@
 
 @when("{seconds:d} s pass with heartbeats of the upstream")
 def pass_with_heartbeats(context, seconds):
+    context.told = []
     for sequence in range(2, 2 + seconds):
         context.now += 1.0
         beat = heartbeats_steps.heartbeat(BORN_MS, sequence)
-        context.core.on_heartbeat(context.now, beat)
+        context.outs = context.core.on_heartbeat(context.now, beat)
+        context.told += [
+            report.accepting for report in messages(context, reports.LoadReport)
+        ]
         context.core.on_timer(context.now)
 
 
--- a/features/steps/heartbeats_steps.py
+++ b/features/steps/heartbeats_steps.py
@@ -38,6 +38,12 @@
     context.applied = context.lifecycle.on_heartbeat(context.now, beat)
 
 
+@when("{seconds:d} s later an announcement of its end arrives")
+def end_announced(context, seconds):
+    context.now += seconds
+    context.lifecycle.deregister(context.now)
+
+
 @then("it {counts} and the upstream is {state}")
 def check_state(context, counts, state):
     assert context.applied == (counts == "counts")
