--- a/features/steps/structure_steps.py
+++ b/features/steps/structure_steps.py
@@ -23,6 +23,7 @@
     "tornado",
     "yaml",
 }
+STORE_CALLS = {"list", "watch", "create", "replace", "delete"}
 # The Google style allows importing names from these modules.
 EXEMPT = {"typing", "collections.abc", "collections"}
 
@@ -83,3 +84,33 @@
     )
     done = subprocess.run([sys.executable, "-c", text], cwd=ROOT, check=False)
     assert done.returncode == 0
+
+
+def store_calls(path):
+    """Yields (module.function, call) of each call to the store in a module."""
+    for function in ast.walk(ast.parse(path.read_text())):
+        if not isinstance(function, (ast.FunctionDef, ast.AsyncFunctionDef)):
+            continue
+        for node in ast.walk(function):
+            if (
+                isinstance(node, ast.Call)
+                and isinstance(node.func, ast.Attribute)
+                and node.func.attr in STORE_CALLS
+                and ast.unparse(node.func.value).endswith("store")
+            ):
+                yield f"{path.stem}.{function.name}", node.func.attr
+
+
+@then("the calls to the store by the forwarding daemons are those of the page")
+def check_store_calls(context):
+    paths = (ROOT / "crocusmux" / "daemons").glob("*.py")
+    made = {call for path in paths for call in store_calls(path)}
+    text = (ROOT / "docs" / "design" / "overload.md").read_text()
+    _, _, section = text.partition("## Calls to the store\n")
+    listed = set()
+    for line in section.splitlines():
+        cells = [cell.strip() for cell in line.strip("|").split("|")]
+        if cells[0].startswith("`"):
+            assert len(cells) == 6 and all(cells), line
+            listed.add((cells[0].strip("`"), cells[1].partition(",")[0]))
+    assert made == listed, made ^ listed
--- a/features/structure.feature
+++ b/features/structure.feature
@@ -12,3 +12,8 @@
   # library took a third of the start, and all hosts may restart at once.
   Scenario: The forwarding daemons start without the library for metrics
     Then the forwarding daemons import no prometheus_client
+
+  # Guards against a call to the store whose cost and late effect nobody has
+  # considered: calls are billed, rate-limited, and may be applied late or twice.
+  Scenario: The design page lists each call to the store
+    Then the calls to the store by the forwarding daemons are those of the page
