Delete the records of hosts that never come back

Cause: nothing removed the record of a host that is gone for good. It cost each new balancer a wait and stayed in each list.

Change: a balancer that has not heard from a host for 10 minutes waits up to 60 s more, and deletes the record on the condition of its revision. It handles one record at a time and pauses while many are deleted. It does not count time in which it was suspended or heard of no agent at all. Records carry whether their agent writes them again; those of older releases are left.

--- a/crocusmux/core/forward/upstreams.py
+++ b/crocusmux/core/forward/upstreams.py
@@ -60,6 +60,9 @@
             depends.
         announced: Revision of this incarnation's first announcement if the
             record was lost and written again; 0 in a first announcement.
+        rewritten: True if the agent writes its record again when it is lost;
+            False in records of older releases, which must not be deleted while
+            the agent may live.
     """
 
     host: str
@@ -69,6 +72,7 @@
     control: tuple[str, int]
     incarnation: int = 0
     announced: int = 0
+    rewritten: bool = False
 
     def __post_init__(self) -> None:
         addresses.check(self.address)
@@ -77,10 +81,13 @@
     def same_agent(self, other: "AgentRecord") -> bool:
         """Returns True if the records differ at most by the announcement.
 
-        That is, by the incarnation and its first revision.
+        That is, by the incarnation, its first revision and its release.
         """
         renewed = msgspec.structs.replace(
-            other, incarnation=self.incarnation, announced=self.announced
+            other,
+            incarnation=self.incarnation,
+            announced=self.announced,
+            rewritten=self.rewritten,
         )
         return self == renewed
 
--- a/crocusmux/daemons/forward_agent.py
+++ b/crocusmux/daemons/forward_agent.py
@@ -59,6 +59,7 @@
             address=cfg.segments,
             control=cfg.messages,
             incarnation=self._incarnation,
+            rewritten=True,
         )
         self._record_keeper = agent_record.AgentRecordKeeper(
             adapter.store,
--- a/crocusmux/daemons/forward_balancer.py
+++ b/crocusmux/daemons/forward_balancer.py
@@ -23,6 +23,7 @@
 from crocusmux.daemons import follow
 from crocusmux.daemons import forward
 from crocusmux.daemons import process
+from crocusmux.daemons import record_cleanup
 from crocusmux.daemons import udp
 from crocusmux.objectapi import http
 
@@ -122,6 +123,9 @@
             CONFIG_BATCH_DELAY_S,
             check=True,
         )
+        self._cleaner = record_cleanup.RecordCleaner(
+            adapter.store, adapter.agent_kind, rng
+        )
         self._followers = [self._config_follower, self._agent_follower]
         if cfg.evacuations:
             self._evacuation_follower = follow.Follower(
@@ -145,6 +149,7 @@
             self._servers.append(forward.serve(address, self._on_request))
         for coroutine in (
             *(follower.run() for follower in self._followers),
+            self._cleaner.run(),
             self._seed_from_peers(),
             self._tick(),
         ):
@@ -174,7 +179,10 @@
         self, message: reports.Message, sender: forwarding.Address
     ) -> None:
         del sender
-        self._execute(self.core.on_message(self._loop.time(), message))
+        now = self._loop.time()
+        if isinstance(message, reports.LoadReport | reports.CompactReport):
+            self._cleaner.records.on_report(now, message.host)
+        self._execute(self.core.on_message(now, message))
         self._schedule_hedges()
 
     def _schedule_hedges(self) -> None:
@@ -313,9 +321,11 @@
         removed = set(changes.removed)
         if changes.full:
             self.core.agent_table.complete = True
-            removed = self.core.agent_table.hosts() - names
+            removed = self.core.agent_table.hosts()
+            removed = (removed | self._cleaner.records.hosts()) - names
         now, revision = self._loop.time(), changes.revision
         for host in removed:
+            self._cleaner.records.on_gone(now, host, revision)
             self._execute(self.core.on_record_gone(now, host, revision))
 
     def _add_agents(self, changes: forwarding.Changes) -> set[str]:
@@ -329,6 +339,8 @@
             except (msgspec.DecodeError, RecursionError) as exc:
                 self._messenger.record_bad_input(exc, item.name)
                 continue
+            if record.rewritten and record.host == item.name:
+                self._cleaner.records.on_record(now, item.name, item.revision)
             self._execute(self.core.add_agent(now, record, item.revision))
         return names
 
