--- a/crocusmux/core/forward/upstreams.py
+++ b/crocusmux/core/forward/upstreams.py
@@ -59,6 +59,11 @@
             nothing keeps an object's revision, so without it a restarted agent
             would leave the revision on which its predecessor's deletion
             depends.
+        announced: Revision of this incarnation's first announcement if the
+            record was lost and written again; 0 in a first announcement.
+        rewritten: True if the agent writes its record again when it is lost;
+            False in records of older releases, which must not be deleted while
+            the agent may live.
     """
 
     host: str
@@ -67,14 +72,24 @@
     address: tuple[str, int]
     control: tuple[str, int]
     incarnation: int = 0
+    announced: int = 0
+    rewritten: bool = False
 
     def __post_init__(self) -> None:
         addresses.check(self.address)
         addresses.check(self.control)
 
     def same_agent(self, other: "AgentRecord") -> bool:
-        """Returns True if the records differ at most by the incarnation."""
-        renewed = msgspec.structs.replace(other, incarnation=self.incarnation)
+        """Returns True if the records differ at most by the announcement.
+
+        That is, by the incarnation, its first revision and its release.
+        """
+        renewed = msgspec.structs.replace(
+            other,
+            incarnation=self.incarnation,
+            announced=self.announced,
+            rewritten=self.rewritten,
+        )
         return self == renewed
 
 
@@ -99,9 +114,13 @@
     Attributes:
         record: The agent's announcement.
         revision: Revision of that record in the store; 0 if it is unknown.
+        gone_at: Revision of the store in which the record was missing; 0 while
+            it is in place.
         added_at: Time at which the agent was added, seconds.
         tag: Hash of the service name, as sent with segments.
         report: The newest load report; None before the first.
+        reporting_incarnation: Incarnation of the agent that sent the last
+            report, also if the record names another service; None before.
         reported_at: Time of that report, seconds; negative infinity before.
         unreported_offers: New flows offered since that report.
         avoided: True if, since that report, an opening was not answered or was
@@ -113,9 +132,11 @@
         "added_at",
         "avoided",
         "backoff_until",
+        "gone_at",
         "record",
         "report",
         "reported_at",
+        "reporting_incarnation",
         "revision",
         "tag",
         "unreported_offers",
@@ -126,14 +147,35 @@
     ) -> None:
         self.record = record
         self.revision = revision
+        self.gone_at = 0
         self.added_at = now
         self.tag = service_tag(record.service)
         self.report: reports.LoadReport | None = None
+        self.reporting_incarnation: int | None = None
         self.reported_at = float("-inf")
         self.unreported_offers = 0
         self.avoided = False
         self.backoff_until = float("-inf")
 
+    def announced_at(self) -> int:
+        """Returns the revision that orders the records of one address.
+
+        A record that was lost and written again is as old as before.
+        """
+        return self.record.announced or self.revision
+
+    def record_lost_at(self) -> int:
+        """Returns the revision of the store in which the record was lost.
+
+        It is lost if it is gone, or if another incarnation of the agent than
+        the one that reports has overwritten it.  0 if it is in place.
+        """
+        if self.gone_at or self.reporting_incarnation is None:
+            return self.gone_at
+        if self.reporting_incarnation == self.record.incarnation:
+            return 0
+        return self.revision
+
     def report_age_s(self, now: float) -> float:
         """Returns the time since the last report, seconds."""
         return now - self.reported_at
