Wait for the own list of evacuations while the store is only slow

Cause: a starting balancer that was told the evacuated domains by a peer counted them as known and served, also if the peer had lost the store before the evacuation.

Change: the word of a peer adds domains, but is enough to serve only once a call of the balancer itself to the list of evacuations has failed. If the store is silent, that takes up to its time-out of 2 s; the limit of 3 s is unchanged.

--- a/crocusmux/core/forward/balancer.py
+++ b/crocusmux/core/forward/balancer.py
@@ -143,6 +143,7 @@
         domains: Iterable[str],
         removed: Iterable[str] = (),
         full: bool = False,
+        known: bool = True,
     ) -> Outputs:
         """Applies evacuated failure domains.
 
@@ -151,8 +152,9 @@
             domains: Evacuated failure domains.
             removed: Failure domains whose evacuation has ended.
             full: True if ``domains`` is the complete list; False for changes.
+            known: False if a list is still waited for.
         """
-        begun, ended = self.evacuated.update(domains, removed, full)
+        begun, ended = self.evacuated.update(domains, removed, full, known)
         sent: Outputs = [
             outputs.Event("evacuate", b"", f"domain={domain}", True)
             for domain in begun
--- a/crocusmux/core/forward/evacuations.py
+++ b/crocusmux/core/forward/evacuations.py
@@ -36,19 +36,25 @@
         return now >= self._expected_until
 
     def update(
-        self, domains: Iterable[str], removed: Iterable[str], full: bool
+        self,
+        domains: Iterable[str],
+        removed: Iterable[str],
+        full: bool,
+        known: bool = True,
     ) -> tuple[list[str], list[str]]:
-        """Applies a list, or the changes of a watch.
+        """Applies a list, the changes of a watch, or what a peer tells.
 
         Args:
             domains: Evacuated failure domains.
             removed: Failure domains whose evacuation has ended.
             full: True if ``domains`` is the complete list; False for changes.
+            known: False if a list is still waited for.
 
         Returns:
             The domains whose evacuation begins, and those where it ends.
         """
-        self._expected_until = float("-inf")
+        if known:
+            self._expected_until = float("-inf")
         before = self.names.copy()
         if full:
             self.names.clear()
--- a/crocusmux/daemons/follow.py
+++ b/crocusmux/daemons/follow.py
@@ -37,6 +37,7 @@
 
     Attributes:
         listed: True once a list has been delivered.
+        failed: True once a call has failed.
     """
 
     def __init__(
@@ -63,6 +64,7 @@
                 watch, by checks.
         """
         self.listed = False
+        self.failed = False
         self._store = store
         self._kind = kind
         self._deliver = deliver
@@ -146,6 +148,7 @@
             return changes
 
     async def _on_failure(self, exc: errors.PlatformError) -> None:
+        self.failed = True
         if self._failures == 0:
             logger.warning(
                 "event=store-lost kind=%s error=%r", self._kind, str(exc)
--- a/crocusmux/daemons/forward_balancer.py
+++ b/crocusmux/daemons/forward_balancer.py
@@ -365,15 +365,20 @@
     def _learn_evacuations(self, state: forwarding.PeerState) -> None:
         """Adds the evacuated domains of a peer until the store has answered.
 
-        None is removed, as the peer may have started just before.
+        None is removed, as the peer may have started just before.  The peer may
+        also have lost the store before an evacuation, so its word is enough to
+        serve only once a call of this balancer has failed.
         """
-        if not self._cfg.evacuations or self._evacuation_follower.listed:
+        follower = self._evacuation_follower if self._cfg.evacuations else None
+        if follower is None or follower.listed:
             return
         # A peer without a configuration may not have asked the store yet.
         if state.config.version:
             names = self._check_domains(state.evacuated)
             self._execute(
-                self.core.update_evacuations(self._loop.time(), names)
+                self.core.update_evacuations(
+                    self._loop.time(), names, known=follower.failed
+                )
             )
 
     async def _tick(self) -> None:
--- a/features/forward_path.feature
+++ b/features/forward_path.feature
@@ -219,6 +219,18 @@
     And balancer 3 starts again
     Then balancer 3 is not ready before it has evacuated abay
 
+  # Guards against new flows to evacuated upstreams through a balancer that takes
+  # the word of a peer without the store while its own list is under way (found by
+  # spec/evacuations.lp, "trusts_peers").
+  Scenario: A new balancer waits for its list although a peer knows no evacuation
+    Given a store with a route to rounds, evacuations, 2 balancers and agents of rounds in abay and enbek
+    When the store rejects the calls of balancer 1
+    And the operator evacuates abay
+    And the store takes 1 s to list evacuations
+    And balancer 3 starts with balancer 1 as its seed
+    Then balancer 3 is not ready before it has evacuated abay
+    And 20 new flows through balancer 3 go to upstreams 2
+
   # Guards against a deployment that never serves because of an optional list,
   # and against a peer that takes part without knowing it either.
   Scenario: A new balancer serves after 3 s if nobody tells the evacuations
--- a/features/steps/forward_path_steps.py
+++ b/features/steps/forward_path_steps.py
@@ -371,9 +371,9 @@
     )
 
 
-@when("the store rejects the calls of balancer 2")
-def reject_calls(context):
-    daemon = context.daemons["balancer", 2]
+@when("the store rejects the calls of balancer {number:d}")
+def reject_calls(context, number):
+    daemon = context.daemons["balancer", number]
 
     async def reject(method, url, body, timeout_s):
         del method, url, body, timeout_s
@@ -559,6 +559,11 @@
     assert " and ".join(used) == hosts, used
 
 
+@when("the store takes {seconds:g} s to list evacuations")
+def delay_lists(context, seconds):
+    context.standin.list_delays["evacuations"] = seconds
+
+
 @when("the store rejects all calls about evacuations")
 def reject_evacuation_calls(context):
     context.standin.rejected_kinds.add("evacuations")
--- a/features/store_standin.py
+++ b/features/store_standin.py
@@ -22,6 +22,7 @@
             by ``apply_delayed``.
         rejected_ips: Client addresses that are rejected with status 503.
         rejected_kinds: Kinds whose requests are rejected with status 503.
+        list_delays: Times until lists of a kind are answered, in seconds.
         oldest_revision: First revision whose change is still in the history.
     """
 
@@ -34,6 +35,7 @@
         self.oldest_revision = 0
         self.rejected_ips = set()
         self.rejected_kinds = set()
+        self.list_delays = {}
         self.revision = 10
         self.objects = {}
         self.history = []
@@ -88,7 +90,9 @@
         if req.method == "GET" and "watch" in req.query_arguments:
             return self.watch_objects(req, kind)
         if req.method == "GET":
-            return self.list_objects(req, kind)
+            loop = asyncio.get_running_loop()
+            delay_s = self.list_delays.get(kind, 0.0)
+            return loop.call_later(delay_s, self.list_objects, req, kind)
         body = json.loads(req.body or b"null")
         if self.delay_deletes and req.method == "DELETE":
             self.delayed.append((req.method, kind, name, body))
