Model-check that no opening follows the bound of an evacuation

spec/evacuations.lp models one domain in the store, the followers of two balancers, peers' words, a restart, and an evacuation that ends and begins again.

--- a/spec/check.py
+++ b/spec/check.py
@@ -22,7 +22,7 @@
 FOLDER = pathlib.Path(__file__).resolve().parent
 
 # Longest runs that are searched, by program, in steps.
-HORIZONS = {"ownership": 16, "forwarding": 16, "parts": 6}
+HORIZONS = {"ownership": 16, "forwarding": 16, "parts": 6, "evacuations": 20}
 
 # Rules of the ownership protocol, by the predicate that they define.  With
 # members a, b and c and two copies of each entry, one report may be missing; d
@@ -73,6 +73,16 @@
     "services": "same(1, 1). same(2, 2).",
     "versions": "takes(I, J) :- number(I), number(J), J > I.",
 }
+# Two balancers, of which one may be cut off from the store; an evacuation that
+# ends and begins again.
+EVACUATIONS = {
+    "daemons": """
+        balancer(p; q). may_lose_store(p).
+        revisions(3). restart_budget(1).""",
+    "start": "",
+    "lists": "",
+    "peers": "",
+}
 
 
 class Check(msgspec.Struct, frozen=True):
@@ -198,6 +208,27 @@
         PARTS,
         {"versions": "takes(I, J) :- number(I), number(J)."},
     ),
+    Check(
+        "opening after an evacuation: a balancer starts without a list",
+        "evacuations",
+        "opening_after_bound",
+        EVACUATIONS,
+        {"start": "serves_without_list."},
+    ),
+    Check(
+        "opening after an evacuation: a stale list replaces a newer watch",
+        "evacuations",
+        "opening_after_bound",
+        EVACUATIONS,
+        {"lists": "stale_lists."},
+    ),
+    Check(
+        "opening after an evacuation: a peer's word counts as a list",
+        "evacuations",
+        "opening_after_bound",
+        EVACUATIONS,
+        {"peers": "trusts_peers."},
+    ),
 )
 # A run in which no action could happen a step earlier and no step is empty.
 LONGEST_RUN = """
