--- a/crocusmux/daemons/forward_balancer.py
+++ b/crocusmux/daemons/forward_balancer.py
@@ -1,7 +1,7 @@
 """Forwarding balancer daemon: sockets, timers, HTTP, store and peers."""
 
 import asyncio
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable
 import itertools
 import logging
 import math
@@ -10,18 +10,16 @@
 import msgspec
 from tornado import httputil
 
-from crocusmux import addresses
 from crocusmux import errors
 from crocusmux import forwarding
 from crocusmux.core.forward import balancer
 from crocusmux.core.forward import evacuations
-from crocusmux.core.forward import explanation
 from crocusmux.core.forward import outputs
 from crocusmux.core.forward import pacing
 from crocusmux.core.forward import reports
-from crocusmux.core.forward import routes
 from crocusmux.core.forward import segments
 from crocusmux.core.forward import upstreams
+from crocusmux.daemons import explain_request
 from crocusmux.daemons import follow
 from crocusmux.daemons import forward
 from crocusmux.daemons import process
@@ -31,7 +29,6 @@
 logger = logging.getLogger(__name__)
 
 OK = 200
-BAD_REQUEST = 400
 NOT_FOUND = 404
 UNAVAILABLE = 503
 STATE_PATH = "/state"
@@ -416,7 +413,9 @@
         if req.path == METRICS_PATH:
             return OK, self._messenger.metrics.render()
         if req.path == EXPLAIN_PATH:
-            return explain(self.core, self._loop.time(), req.arguments)
+            return explain_request.explain(
+                self.core, self._loop.time(), req.arguments
+            )
         return NOT_FOUND, b""
 
     def _state(self) -> forwarding.PeerState:
@@ -430,61 +429,6 @@
         )
 
 
-def explain(
-    core: balancer.ForwardingBalancer,
-    now: float,
-    arguments: Mapping[str, Sequence[bytes]],
-) -> tuple[int, bytes]:
-    """Explains where a balancer would place a new flow.
-
-    Args:
-        core: The balancer.
-        now: Time in seconds.
-        arguments: Query arguments of the request.
-
-    Returns:
-        Status and body of the response: an ``Explanation`` as JSON, or one line
-        with the reason for its absence.
-    """
-    try:
-        caller = _address_argument(arguments, "caller")
-        address = _address_argument(arguments, "address")
-    except ValueError as exc:
-        return BAD_REQUEST, f"{exc}\n".encode()
-    key = routes.encode_flow_key(caller, address)
-    found = core.explain(now, key)
-    if found.outcome == explanation.IGNORED:
-        missing = {
-            explanation.IGNORED_NO_CONFIGURATION: b"no configuration",
-            explanation.IGNORED_NO_EVACUATIONS: b"no list of evacuations",
-        }[found.reason]
-        return UNAVAILABLE, b"the balancer has %s yet\n" % missing
-    if found.outcome == explanation.REFUSED:
-        text = f"no route for {address[0]}:{address[1]}"
-        text += f" in configuration version {found.version}\n"
-        return NOT_FOUND, text.encode()
-    return OK, msgspec.json.encode(found)
-
-
-def _address_argument(
-    arguments: Mapping[str, Sequence[bytes]], name: str
-) -> forwarding.Address:
-    """Returns an address from a query.
-
-    Raises:
-        ValueError: It is missing, repeated or not ``IP:PORT``.
-    """
-    values = arguments.get(name, ())
-    if len(values) != 1:
-        raise ValueError(f"give {name}=IP:PORT once")
-    try:
-        address = addresses.split(values[0].decode())
-        addresses.check(address)
-    except ValueError as exc:
-        raise ValueError(f"{name}: {exc}") from exc
-    return address
-
-
 def run(
     cfg: forwarding.HostSettings,
     make_adapter: Callable[[forwarding.HostSettings], forwarding.Adapter],
--- a/features/steps/explain_flow_steps.py
+++ b/features/steps/explain_flow_steps.py
@@ -21,7 +21,7 @@
 from crocusmux.core.forward import outputs
 from crocusmux.core.forward import reports
 from crocusmux.core.forward import routes
-from crocusmux.daemons import forward_balancer
+from crocusmux.daemons import explain_request
 from crocusmux.ui import app
 from features import balancer_sample
 from features.steps import forward_path_steps as path
@@ -541,7 +541,7 @@
 def explanation_status(context, status, text):
     arguments = {"caller": [b"1.2.3.4:5"], "address": [b"198.18.0.1:443"]}
     now = getattr(context, "now", 1.0)
-    found = forward_balancer.explain(context.core, now, arguments)
+    found = explain_request.explain(context.core, now, arguments)
     assert found[0] == status and text in found[1].decode(), found
 
 
