Read the configuration before a flow counts as lost

Cause: a balancer whose configuration was older than a flow looked for the flow among the agents of the services that it knew.

Change: with the list of agents, the balancer reads the configuration. That is one more call for each such read, of which there is at most one in 0.5 s.

Result: "A balancer reads the configuration before it counts a flow as lost" failed before the change (flow-lost reason=denied-by-all at the balancer with version 1) and passes with it; forward_path.feature and lookups.feature pass.

--- a/crocusmux/daemons/forward_balancer.py
+++ b/crocusmux/daemons/forward_balancer.py
@@ -260,7 +260,11 @@
         return checked
 
     def _list_agents(self) -> None:
-        """Reads the list of agents beside the watch, one call at a time."""
+        """Reads the list of agents beside the watch, one read at a time.
+
+        A flow counts as lost by it, so the configuration is read as well: the
+        flow may be of a service to which its route has led only since then.
+        """
         if self._list_task is None or self._list_task.done():
             self._list_task = process.start_task(
                 self._tasks, self._add_listed_agents()
@@ -268,11 +272,14 @@
 
     async def _add_listed_agents(self) -> None:
         requested_at = self._loop.time()
+        store = self._adapter.store
         try:
-            changes = await self._adapter.store.list(self._adapter.agent_kind)
+            configuration = await store.list(self._adapter.config_kind)
+            changes = await store.list(self._adapter.agent_kind)
         except errors.PlatformError as exc:
             logger.warning("event=list-failed error=%r", str(exc))
             return
+        self._on_config_changes(configuration)
         # The watch may be ahead of this list, so no agent is removed.
         self._add_agents(changes)
         self.core.agent_table.record_list(requested_at)
--- /dev/null
+++ b/features/former_services.feature
@@ -0,0 +1,15 @@
+Feature: Open flows of a route's former and newer services are not reset
+
+  # Guards against fault FLOW (a) at a balancer that has not got the newest
+  # configuration yet: it looked for the flow among the agents of the service that
+  # it knew ("reads_no_config").
+  Scenario: A balancer reads the configuration before it counts a flow as lost
+    Given a store with a route to rounds, 2 balancers and agents of rounds and wheelbook
+    When the store answers no watch on the configuration any more
+    And the operator moves the route to wheelbook unseen
+    And balancer 1 is killed and starts again
+    And a caller opens a flow through balancer 1
+    Then the caller gets a SYN+ACK
+    When the caller sends a request through balancer 2
+    Then the upstream that answered gets it once and the other one nothing
+    And the caller gets the answer
--- a/features/steps/forward_path_steps.py
+++ b/features/steps/forward_path_steps.py
@@ -99,7 +99,10 @@
 def settings(context, role, number):
     ip = f"127.0.{1 if role == 'balancer' else 2}.{number}"
     port = context.ports
-    seed = ("127.0.1.1", port["control"])
+    seeds = tuple(
+        (f"127.0.1.{seed}", port["control"])
+        for seed in getattr(context, "seeds", (1,))
+    )
     return forwarding.HostSettings(
         role=role,
         host=f"{role}-{number}",
@@ -112,19 +115,24 @@
         control=(ip, port["control"]),
         messages=(ip, port["messages"]),
         metrics=(ip, port["metrics"]),
-        seeds=(seed,),
+        seeds=seeds,
         store=context.standin.address,
         heartbeat_s=1.2,
         grace_s=6.0,
         first_start=getattr(context, "first_start", True),
         evacuations=getattr(context, "evacuations", False),
         hedge_share=getattr(context, "hedge_share", 0.0),
-        service="rounds" if role == "agent" else "",
+        service=service_of(context, number) if role == "agent" else "",
         upstream=(ip, port["app"]) if role == "agent" else ("", 0),
         outbound=(ip, port["outbound"]) if role == "agent" else ("", 0),
     )
 
 
+def service_of(context, number):
+    """Returns the service of a host's upstream."""
+    return getattr(context, "services", {}).get(number, "rounds")
+
+
 def start_daemon(context, role, number):
     cfg = settings(context, role, number)
     context.daemon_starts = getattr(context, "daemon_starts", 0) + 1
@@ -174,7 +182,7 @@
 def send_heartbeat(context, number, sequence, path="heartbeat", state="ready"):
     ip = f"127.0.2.{number}"
     body = {
-        "service": "rounds",
+        "service": service_of(context, number),
         "address": f"{ip}:{context.ports['app']}",
         "zone": "abay",
         "version": "v1",
--- a/features/store_standin.py
+++ b/features/store_standin.py
@@ -22,6 +22,7 @@
             by ``apply_delayed``.
         rejected_ips: Client addresses that are rejected with status 503.
         rejected_kinds: Kinds whose requests are rejected with status 503.
+        lost_watches: Kinds whose watches are not answered any more.
         list_delays: Times until lists of a kind are answered, in seconds.
         oldest_revision: First revision whose change is still in the history.
     """
@@ -35,6 +36,7 @@
         self.oldest_revision = 0
         self.rejected_ips = set()
         self.rejected_kinds = set()
+        self.lost_watches = set()
         self.list_delays = {}
         self.revision = 10
         self.objects = {}
@@ -140,7 +142,7 @@
         if since + 1 < self.oldest_revision:
             return self.respond(req, 410)
         events = [e for rev, k, e in self.history if k == kind and rev > since]
-        if events:
+        if events and kind not in self.lost_watches:
             return self.respond_with_events(req, events)
         wait_s = int(req.arguments["wait_ms"][0]) / 1000
         loop = asyncio.get_running_loop()
@@ -162,7 +164,7 @@
         event = {"object": item, "deleted": deleted}
         self.history.append((self.revision, kind, event))
         for entry in list(self.pending_watches):
-            if entry[1] == kind:
+            if entry[1] == kind and kind not in self.lost_watches:
                 self.end_watch(entry, [event])
 
     def respond(self, req, status, body=None):
