Reset no flow before a starting balancer has asked for former services

Cause: a balancer that starts is ready as soon as the store and the agents have answered, and asks its peers for the former services of routes 0.5 s after its start.

Change: until each seed was asked once, denials do not prove the loss of a flow. After a loss of power, when nobody knows former services, that delays the first resets until 0.5 s after the start, or longer where seeds do not answer (1 s each).

--- a/crocusmux/core/forward/holder_resolver.py
+++ b/crocusmux/core/forward/holder_resolver.py
@@ -234,7 +234,8 @@
         self, now: float, lookup: holder_lookup.HolderLookup
     ) -> Outputs:
         listed_at = self._agent_table.listed_at
-        if lookup.proves_loss(listed_at):
+        awaited = self._routes.awaits_former_services
+        if lookup.proves_loss(listed_at) and not awaited:
             return self._on_flow_lost(lookup.probe_segment.key, "denied-by-all")
         interval_s = NO_DATA_LIST_INTERVAL_S
         if lookup.probe_segment.length:
--- a/crocusmux/core/forward/routes.py
+++ b/crocusmux/core/forward/routes.py
@@ -109,17 +109,21 @@
 
     Attributes:
         configuration: The configuration; version 0 before the first.
+        awaits_former_services: True while peers may still tell former services,
+            so that no flow counts as lost.
     """
 
     __slots__ = (
         "_by_address",
         "_former_services",
         "_warmup_rates",
+        "awaits_former_services",
         "configuration",
     )
 
     def __init__(self) -> None:
         self.configuration = Configuration(0)
+        self.awaits_former_services = False
         self._by_address: dict[bytes, Route] = {}
         self._former_services: dict[bytes, set[str]] = {}
         self._warmup_rates: dict[str, float] = {}
--- a/crocusmux/daemons/forward_balancer.py
+++ b/crocusmux/daemons/forward_balancer.py
@@ -87,6 +87,7 @@
         self._stopping = False
         self._stale_since: float | None = None
         self._knows_former_services = cfg.first_start
+        self.core.routes.awaits_former_services = not cfg.first_start
         self._list_task: asyncio.Task | None = None
         self._hedge_timer: asyncio.TimerHandle | None = None
         self._pacer = pacing.BulkPacer(cfg.link_mbps)
@@ -319,6 +320,9 @@
                 source = f"{ip}:{port}"
                 if source != self._own_source and not self._seeded(attempt):
                     await self._fetch_state(source)
+            # Once all were asked, it is likely that no peer knows them, as after
+            # a loss of power, and callers of lost flows wait.
+            self.core.routes.awaits_former_services = False
             if self._seeded(attempt):
                 return
 
--- a/features/former_services.feature
+++ b/features/former_services.feature
@@ -1,5 +1,19 @@
 Feature: Open flows of a route's former and newer services are not reset
 
+  # Guards against fault FLOW (a): a balancer that had just started reset a flow
+  # of a former service before a peer had told it the former services (found by
+  # spec/former_services.lp, "resets_early").
+  Scenario: A starting balancer resets nothing before it knows former services
+    Given a store with a route to rounds, 2 balancers and agents of rounds and wheelbook
+    When a caller opens a flow through balancer 1
+    Then the caller gets a SYN+ACK
+    When the caller acknowledges it through balancer 1
+    And the operator moves the route to wheelbook
+    And balancer 3 starts again and is ready
+    And the caller sends a request through balancer 3
+    Then the upstream that answered gets it once and the other one nothing
+    And the caller gets the answer
+
   # Guards against fault FLOW (a) at a balancer that has not got the newest
   # configuration yet: it looked for the flow among the agents of the service that
   # it knew ("reads_no_config").
