Ask another peer if one does not know the former services

Cause: a starting balancer asked no further peer after one with a configuration, also if that had just started and knew no former services.

Change: a balancer's state says whether it knows the former services (last field of PeerState, true by default, for peers of older releases).

--- a/crocusmux/daemons/forward_balancer.py
+++ b/crocusmux/daemons/forward_balancer.py
@@ -342,8 +342,9 @@
         except ValueError as exc:
             self._messenger.record_bad_input(exc, source)
             return
-        # A peer without a configuration has no history to tell.
-        if state.config.version:
+        # A peer without a configuration has no history to tell, and one that has
+        # started as well may not know it.
+        if state.config.version and state.knows_former_services:
             self._knows_former_services = True
 
     def _store_answered(self) -> bool:
@@ -437,6 +438,7 @@
             tuple(reporting),
             self.core.routes.former_services(),
             tuple(sorted(self.core.evacuated)),
+            self._knows_former_services,
         )
 
 
--- a/crocusmux/forwarding.py
+++ b/crocusmux/forwarding.py
@@ -208,9 +208,13 @@
             sends none.
         evacuated: Evacuated failure domains that the sender knows; a peer of an
             older release sends none.
+        knows_former_services: False if the sender has started and no peer has
+            told it the former services yet; a peer of an older release does not
+            tell.
     """
 
     config: routes.Configuration
     agents: tuple[upstreams.AgentRecord, ...]
     former_services: tuple[routes.FormerServices, ...] = ()
     evacuated: tuple[str, ...] = ()
+    knows_former_services: bool = True
--- a/features/former_services.feature
+++ b/features/former_services.feature
@@ -14,6 +14,16 @@
     Then the upstream that answered gets it once and the other one nothing
     And the caller gets the answer
 
+  # Guards against a history that is lost in a rolling restart: a balancer asked
+  # no other peer after one that had started as well ("trusts_any_peer").
+  Scenario: A peer that does not know the former services is not the last asked
+    Given a store with a route to rounds, 2 balancers and agents of rounds and wheelbook
+    When the operator moves the route to wheelbook
+    And balancer 3 starts again with balancers 2 and 1 as its seeds
+    And 0.2 s pass on all hosts
+    And balancer 2 is killed and starts again
+    Then balancers 2 and 3 know that the route led to rounds within 2 s
+
   # Guards against fault FLOW (a) at a balancer that has not got the newest
   # configuration yet: it looked for the flow among the agents of the service that
   # it knew ("reads_no_config").
