--- a/crocusmux/daemons/explain_request.py
+++ b/crocusmux/daemons/explain_request.py
@@ -1,4 +1,4 @@
-"""Answers requests for ``/explain`` of a forwarding balancer."""
+"""Answers requests to explain where a balancer would place a new flow."""
 
 from collections.abc import Mapping, Sequence
 
--- a/crocusmux/daemons/follow.py
+++ b/crocusmux/daemons/follow.py
@@ -37,6 +37,7 @@
 
     Attributes:
         listed: True once a list has been delivered.
+        failed: True once a call has failed.
     """
 
     def __init__(
@@ -63,6 +64,7 @@
                 watch, by checks.
         """
         self.listed = False
+        self.failed = False
         self._store = store
         self._kind = kind
         self._deliver = deliver
@@ -83,6 +85,21 @@
             else:
                 self._on_success()
 
+    async def read_current(self) -> None:
+        """Delivers what has changed, without waiting for the watch.
+
+        The watch delivers these changes again.
+
+        Raises:
+            errors.PlatformError: The store did not answer.
+        """
+        changes: forwarding.Changes | None = None
+        if self._revision is not None:
+            changes = await self._store.watch(self._kind, self._revision, 0.0)
+        if changes is None:
+            changes = await self._store.list(self._kind)
+        self._deliver(changes)
+
     async def _poll(self) -> None:
         changes: forwarding.Changes | None
         if self._revision is None:
@@ -146,6 +163,7 @@
             return changes
 
     async def _on_failure(self, exc: errors.PlatformError) -> None:
+        self.failed = True
         if self._failures == 0:
             logger.warning(
                 "event=store-lost kind=%s error=%r", self._kind, str(exc)
--- a/crocusmux/daemons/forward_balancer.py
+++ b/crocusmux/daemons/forward_balancer.py
@@ -91,6 +91,7 @@
         self._stopping = False
         self._stale_since: float | None = None
         self._knows_former_services = cfg.first_start
+        self.core.routes.awaits_former_services = not cfg.first_start
         self._list_task: asyncio.Task | None = None
         # Waits to ask a peer about skipped configurations.
         self._skip_task: asyncio.Task | None = None
@@ -300,7 +301,11 @@
         return checked
 
     def _list_agents(self) -> None:
-        """Reads the list of agents beside the watch, one call at a time."""
+        """Reads the list of agents beside the watch, one read at a time.
+
+        A flow counts as lost by it, so changes of the configuration are read as
+        well: the route may lead to the service of the flow only since then.
+        """
         if self._list_task is None or self._list_task.done():
             self._list_task = process.start_task(
                 self._tasks, self._add_listed_agents()
@@ -309,6 +314,7 @@
     async def _add_listed_agents(self) -> None:
         requested_at = self._loop.time()
         try:
+            await self._config_follower.read_current()
             changes = await self._adapter.store.list(self._adapter.agent_kind)
         except errors.PlatformError as exc:
             logger.warning("event=list-failed error=%r", str(exc))
@@ -357,6 +363,9 @@
                 source = f"{ip}:{port}"
                 if source != self._own_source and not self._seeded(attempt):
                     await self._fetch_state(source)
+            # Once all were asked, it is likely that no peer knows them, as after
+            # a loss of power, and callers of lost flows wait.
+            self.core.routes.awaits_former_services = False
             if self._seeded(attempt):
                 return
 
@@ -376,8 +385,9 @@
         except ValueError as exc:
             self._messenger.record_bad_input(exc, source)
             return
-        # A peer without a configuration has no history to tell.
-        if state.config.version:
+        # A peer without a configuration has no history to tell, and one that has
+        # started as well may not know it.
+        if state.config.version and state.knows_former_services:
             self._knows_former_services = True
 
     def _store_answered(self) -> bool:
@@ -412,15 +422,20 @@
     def _learn_evacuations(self, state: forwarding.PeerState) -> None:
         """Adds the evacuated domains of a peer until the store has answered.
 
-        None is removed, as the peer may have started just before.
+        None is removed, as the peer may have started just before.  The peer may
+        also have lost the store before an evacuation, so its word is enough to
+        serve only once a call of this balancer has failed.
         """
-        if not self._cfg.evacuations or self._evacuation_follower.listed:
+        follower = self._evacuation_follower if self._cfg.evacuations else None
+        if follower is None or follower.listed:
             return
         # A peer without a configuration may not have asked the store yet.
         if state.config.version:
             names = self._check_domains(state.evacuated)
             self._execute(
-                self.core.update_evacuations(self._loop.time(), names)
+                self.core.update_evacuations(
+                    self._loop.time(), names, known=follower.failed
+                )
             )
 
     async def _tick(self) -> None:
@@ -471,6 +486,7 @@
             tuple(reporting),
             self.core.routes.former_services(),
             tuple(sorted(self.core.evacuated)),
+            self._knows_former_services,
         )
 
 
--- a/features/store_standin.py
+++ b/features/store_standin.py
@@ -22,6 +22,8 @@
             by ``apply_delayed``.
         rejected_ips: Client addresses that are rejected with status 503.
         rejected_kinds: Kinds whose requests are rejected with status 503.
+        lost_watches: Kinds whose watches are not answered any more.
+        list_delays: Times until lists of a kind are answered, in seconds.
         oldest_revision: First revision whose change is still in the history.
     """
 
@@ -34,6 +36,8 @@
         self.oldest_revision = 0
         self.rejected_ips = set()
         self.rejected_kinds = set()
+        self.lost_watches = set()
+        self.list_delays = {}
         self.revision = 10
         self.objects = {}
         self.history = []
@@ -88,7 +92,9 @@
         if req.method == "GET" and "watch" in req.query_arguments:
             return self.watch_objects(req, kind)
         if req.method == "GET":
-            return self.list_objects(req, kind)
+            loop = asyncio.get_running_loop()
+            delay_s = self.list_delays.get(kind, 0.0)
+            return loop.call_later(delay_s, self.list_objects, req, kind)
         body = json.loads(req.body or b"null")
         if self.delay_deletes and req.method == "DELETE":
             self.delayed.append((req.method, kind, name, body))
@@ -136,9 +142,10 @@
         if since + 1 < self.oldest_revision:
             return self.respond(req, 410)
         events = [e for rev, k, e in self.history if k == kind and rev > since]
-        if events:
-            return self.respond_with_events(req, events)
         wait_s = int(req.arguments["wait_ms"][0]) / 1000
+        # Without a wait there is no pending answer that could get lost.
+        if events and (kind not in self.lost_watches or wait_s == 0):
+            return self.respond_with_events(req, events)
         loop = asyncio.get_running_loop()
         entry = (req, kind)
         self.pending_watches.append(entry)
@@ -158,7 +165,7 @@
         event = {"object": item, "deleted": deleted}
         self.history.append((self.revision, kind, event))
         for entry in list(self.pending_watches):
-            if entry[1] == kind:
+            if entry[1] == kind and kind not in self.lost_watches:
                 self.end_watch(entry, [event])
 
     def respond(self, req, status, body=None):
