Refuse records whose incarnation messages cannot carry

Cause: an incarnation of more than 64 bits was accepted from the store. The balancer then could not encode its state, so that every request of a starting peer failed, found by the property test of the decoders.

Change: an incarnation is a number from 0 to 2^63 - 1.

--- a/crocusmux/core/forward/upstreams.py
+++ b/crocusmux/core/forward/upstreams.py
@@ -71,6 +71,9 @@
     def __post_init__(self) -> None:
         addresses.check(self.address)
         addresses.check(self.control)
+        # The state for peers carries it in 64 bits.
+        if not 0 <= self.incarnation < 1 << 63:
+            raise ValueError(f"incarnation out of range: {self.incarnation}")
 
     def same_agent(self, other: "AgentRecord") -> bool:
         """Returns True if the records differ at most by the incarnation."""
--- a/features/bad_input.feature
+++ b/features/bad_input.feature
@@ -78,6 +78,17 @@
       | former_services/0/address | ["198.18.0.1", 1e9] |
       | former_services/0/address | ["", 443]           |
 
+  # Guards against a record that keeps new balancers from starting without the
+  # store: no balancer could encode the state that they ask for.
+  Scenario Outline: An incarnation that messages cannot carry is malformed
+    Then an agent's record with incarnation <number> is malformed
+
+    Examples:
+      | number               |
+      | -1                   |
+      | 9223372036854775808  |
+      | 18446744073709551616 |
+
   # Guards against a service, host or reason from another host that forges a log
   # line.
   Scenario: Characters that cannot be printed are escaped in log lines
--- a/features/steps/bad_input_steps.py
+++ b/features/steps/bad_input_steps.py
@@ -487,6 +487,13 @@
     expect_decode_error(json.dumps(message), reports.Subscribe)
 
 
+@then("an agent's record with incarnation {number:d} is malformed")
+def check_incarnation(context, number):
+    record = balancer_sample.record("a", "rounds", "10.0.0.1")
+    fields = {**msgspec.to_builtins(record), "incarnation": number}
+    expect_decode_error(json.dumps(fields), upstreams.AgentRecord)
+
+
 def expect_decode_error(text, kind):
     try:
         msgspec.json.decode(text, type=kind)
