Return a failure for a request to an impossible port

Cause: the HTTP client, which raises nothing by its contract, raised OverflowError for a port above 65535. A load report may name any address as the source of a newer configuration, and the task that fetched it ended.

Change: the client returns that the request was not sent.

--- a/crocusmux/objectapi/http.py
+++ b/crocusmux/objectapi/http.py
@@ -95,7 +95,8 @@
             return calls.Response(sent=False, reason="connection refused")
         except (OSError, httpclient.HTTPError) as exc:
             return calls.Response(sent=_was_sent(exc), reason=_reason(exc))
-        except ValueError as exc:
+        except (OverflowError, ValueError) as exc:
+            # The port may not fit 16 bits.
             return calls.Response(sent=False, reason=f"bad URL {url!r}: {exc}")
         if response.code >= 599:
             reason = _reason(response.error)
--- a/features/bad_input.feature
+++ b/features/bad_input.feature
@@ -78,6 +78,16 @@
       | former_services/0/address | ["198.18.0.1", 1e9] |
       | former_services/0/address | ["", 443]           |
 
+  # Guards against a load report that names a source of the configuration whose
+  # port is impossible: the task that fetches it ended with an error.
+  Scenario Outline: A request to an impossible address fails without an error
+    Then a request to <address> returns that it was not sent
+
+    Examples:
+      | address         |
+      | 127.0.0.1:99999 |
+      | [::1            |
+
   # Guards against a record that keeps new balancers from starting without the
   # store: no balancer could encode the state that they ask for.
   Scenario Outline: An incarnation that messages cannot carry is malformed
--- a/features/steps/bad_input_steps.py
+++ b/features/steps/bad_input_steps.py
@@ -18,6 +18,7 @@
 from crocusmux.core.forward import segments
 from crocusmux.core.forward import upstreams
 from crocusmux.daemons import udp
+from crocusmux.objectapi import http
 from crocusmux.platform import configuration
 from crocusmux.platform import host_settings
 from crocusmux.platform import packets
@@ -487,6 +488,16 @@
     expect_decode_error(json.dumps(message), reports.Subscribe)
 
 
+@then("a request to {address:S} returns that it was not sent")
+def check_request(context, address):
+    async def request():
+        fetch = http.make_fetch()
+        return await fetch("GET", f"http://{address}/state", None, 1.0)
+
+    response = asyncio.run(request())
+    assert not response.sent and "bad URL" in response.reason, response
+
+
 @then("an agent's record with incarnation {number:d} is malformed")
 def check_incarnation(context, number):
     record = balancer_sample.record("a", "rounds", "10.0.0.1")
