Limit the size of heartbeats and of logged errors

Cause: an agent decoded heartbeats of up to 4 MB, which took 2.4 s of processor time if they were all brackets, and logged malformed values in full, so that four heartbeats could fill the buffer of the log.

Change: a heartbeat of more than 64 KB is malformed; an error is logged up to 500 characters.

--- a/crocusmux/daemons/forward.py
+++ b/crocusmux/daemons/forward.py
@@ -25,6 +25,9 @@
 FLUSH_INTERVAL_S = 0.25
 BACKLOG = 128
 MAX_BODY_BYTES = 4 << 20
+# Errors name the malformed value, and a few long ones would fill the buffer of
+# the log.
+MAX_ERROR_CHARS = 500
 
 HttpHandler = Callable[[httputil.HTTPServerRequest], tuple[int, bytes]]
 
@@ -67,7 +70,8 @@
 
     def record_bad_input(self, exc: Exception, sender: object) -> None:
         """Counts and logs input that cannot be decoded."""
-        detail = f"sender={sender} error={str(exc)!r}"
+        error = str(exc)[:MAX_ERROR_CHARS]
+        detail = f"sender={sender} error={error!r}"
         self.record_event(outputs.Event("bad-input", b"", detail))
 
     def record_ignored(self, purpose: str, name: str) -> None:
--- a/crocusmux/platform/upstream_calls.py
+++ b/crocusmux/platform/upstream_calls.py
@@ -13,6 +13,9 @@
 
 _CALL_PATH = re.compile(r"/crocusmux/endpoints/([^/]+)/(heartbeat|deregister)")
 
+# Heartbeats have a few hundred bytes.  Decoding the 4 MB that the HTTP server
+# takes keeps the event loop busy for seconds.
+MAX_HEARTBEAT_BYTES = 65_536
 # The agent reports the slots to balancers, so a heartbeat with a number that a
 # load report cannot carry is malformed.
 _MAX_NUMBER = int(reports.MAX_NUMBER)
@@ -48,6 +51,12 @@
     upstream, action = match.groups()
     if action == "deregister":
         return forwarding.Deregistration(upstream)
+    if len(body) > MAX_HEARTBEAT_BYTES:
+        raise errors.WireError(
+            f"{len(body)} bytes are too many",
+            step="decode heartbeat",
+            peer=upstream,
+        )
     try:
         report = msgspec.json.decode(jsonlimits.prune(body), type=_StatusReport)
         ip, _, port = report.address.rpartition(":")
--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -274,6 +274,21 @@
     When a heartbeat whose body is nested 2000 deep arrives
     Then the call is refused as malformed
 
+  # Guards against a heartbeat that stops its agent: 4 MB of brackets took 2.4 s
+  # of processor time.
+  Scenario Outline: A heartbeat that is too long is refused as malformed
+    When a heartbeat padded to <size> bytes arrives
+    Then the call is <outcome>
+
+    Examples:
+      | size  | outcome              |
+      | 65537 | refused as malformed |
+      | 65536 | accepted             |
+
+  # Guards against bad input that fills the buffer of the log.
+  Scenario: The error of bad input is logged in part
+    Then the log line of bad input with an error of 100000 characters has at most 600
+
   # Guards against a datagram that is nested too deep and raises an error in a
   # balancer's receiver.
   Scenario: A control message that is nested too deep is bad input
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -3,6 +3,7 @@
 import json
 import random
 import time
+from unittest import mock
 
 from behave import given
 from behave import then
@@ -220,6 +221,35 @@
         context.error = exc
 
 
+@when("a heartbeat padded to {size:d} bytes arrives")
+def send_padded_heartbeat(context, size):
+    body = heartbeat_body("a heartbeat with sequence 7")
+    context.call = context.error = None
+    try:
+        context.call = upstream_calls.decode_call(
+            "POST", "/crocusmux/endpoints/i-1/heartbeat", body.ljust(size)
+        )
+    except errors.WireError as exc:
+        context.error = exc
+
+
+@then("the call is accepted")
+def call_accepted(context):
+    assert context.call is not None, context.error
+
+
+@then(
+    "the log line of bad input with an error of {length:d} characters has at"
+    " most {limit:d}"
+)
+def check_error_length(context, length, limit):
+    exc = errors.WireError("x" * length, step="decode")
+    messenger = mock.Mock()
+    forward.Messenger.record_bad_input(messenger, exc, ("127.0.0.1", 9))
+    (event,) = messenger.record_event.call_args.args
+    assert "xxx" in event.detail and len(event.detail) <= limit, event.detail
+
+
 @then("the call is refused as malformed")
 def call_rejected(context):
     assert context.error is not None and context.call is None
