Keep an agent that reports from an address which a late record claims

Cause: of two records with one address the newer one counted, and the other was forgotten. A first announcement that the store applied after the address had been given to another host displaced that host: its reports were ignored and its flows were reset.

Change: the balancer remembers a displaced record, and restores it if its agent reports while that of the newer record is silent. A late report of a former host does not displace an agent that reports.

--- a/crocusmux/core/forward/agent_table.py
+++ b/crocusmux/core/forward/agent_table.py
@@ -95,6 +95,7 @@
         "_by_address",
         "_by_host",
         "_by_service",
+        "_displaced",
         "_failure_domain",
         "_local_count",
         "complete",
@@ -110,6 +111,8 @@
         self._by_host: dict[str, upstreams.Upstream] = {}
         self._by_address: dict[tuple[str, int], str] = {}
         self._by_service: dict[str, _Service] = {}
+        # Agents whose address another record has, by host.
+        self._displaced: dict[str, upstreams.Upstream] = {}
 
     def __len__(self) -> int:
         return len(self._by_host)
@@ -142,12 +145,16 @@
             revision < previous.revision or revision < previous.gone_at
         ):
             return None
+        displaced = self._displaced.get(record.host)
+        if displaced is not None and revision <= displaced.revision:
+            return None
         upstream = upstreams.Upstream(now, record, revision)
         if (
             same_address is not None
             and same_address is not previous
             and upstream.announced_at() < same_address.announced_at()
         ):
+            self._displaced[record.host] = upstream
             return None
         if previous is not None and previous.record.same_agent(record):
             previous.record = record
@@ -155,17 +162,52 @@
             previous.gone_at = 0
             return None
         self.remove(record.host)
-        if same_address is not None:
-            self.remove(same_address.record.host)
+        self._insert(upstream)
+        return upstream
+
+    def _insert(self, upstream: upstreams.Upstream) -> None:
+        """Inserts an agent; one that has its address is displaced."""
+        record = upstream.record
+        known = self._by_host.get(self._by_address.get(record.address, ""))
+        if known is not None:
+            self.remove(known.record.host)
+            self._displaced[known.record.host] = known
         self._by_host[record.host] = upstream
         self._by_address[record.address] = record.host
         self._local_count += self.is_local(record)
         service = self._by_service.setdefault(record.service, _Service())
         service.add(upstream)
+
+    def restore(self, now: float, host: str) -> upstreams.Upstream | None:
+        """Restores a displaced agent that reports from its address.
+
+        The store may apply the write of a host that is gone after the address
+        was given to another one, so the newest record need not be that of the
+        host which has the address.
+
+        Args:
+            now: Time in seconds.
+            host: Host of an agent that has reported.
+
+        Returns:
+            The agent; None if it was not displaced, or if the agent that has
+            its address now reports as well.
+        """
+        upstream = self._displaced.get(host)
+        if upstream is None:
+            return None
+        known = self._by_host.get(
+            self._by_address.get(upstream.record.address, "")
+        )
+        if known is not None and not known.silent(now):
+            return None
+        del self._displaced[host]
+        self._insert(upstream)
         return upstream
 
     def remove(self, host: str) -> bool:
         """Removes an agent; returns False if it was unknown."""
+        self._displaced.pop(host, None)
         upstream = self._by_host.pop(host, None)
         if upstream is None:
             return False
--- a/crocusmux/core/forward/balancer.py
+++ b/crocusmux/core/forward/balancer.py
@@ -148,7 +148,9 @@
             revision: Revision of the store in which the record is missing.
         """
         upstream = self.agent_table.get(host)
-        if upstream is None or revision < upstream.revision:
+        if upstream is None:
+            return self.remove_agent(host)
+        if revision < upstream.revision:
             return []
         if upstream.report is None or upstream.lost(now):
             return self.remove_agent(host)
@@ -469,10 +471,11 @@
         return self._dispatch(now, message) + self._resolver.send_queries(now)
 
     def _dispatch(self, now: float, message: reports.Message) -> Outputs:
-        if isinstance(message, reports.LoadReport):
-            return self._on_report(now, message)
-        if isinstance(message, reports.CompactReport):
-            return self._on_report(now, self._expand(message))
+        if isinstance(message, reports.LoadReport | reports.CompactReport):
+            sent = self._restore_agent(now, message.host)
+            if isinstance(message, reports.CompactReport):
+                message = self._expand(message)
+            return sent + self._on_report(now, message)
         if isinstance(message, reports.OpeningDeclined):
             return self._on_declined(now, message)
         if isinstance(message, reports.FlowClaimed):
@@ -483,6 +486,17 @@
             return self._resolver.on_reply(now, message)
         return []
 
+    def _restore_agent(self, now: float, host: str) -> Outputs:
+        """Restores an agent whose address a later record has taken."""
+        upstream = self.agent_table.restore(now, host)
+        if upstream is None:
+            return []
+        detail = f"agent={host} service={upstream.record.service}"
+        return [
+            outputs.Event("agent-restored", b"", detail, True),
+            *self._subscriptions.make([upstream]),
+        ]
+
     def _expand(self, report: reports.CompactReport) -> reports.LoadReport:
         upstream = self.agent_table.get(report.host)
         service = ""
--- a/features/agent_records.feature
+++ b/features/agent_records.feature
@@ -141,3 +141,43 @@
     When the agent of host 1 is replaced by a new one
     And 30 s pass with heartbeats of upstreams 1 and 2
     Then the agents have written to the store 3 times
+
+  # Guards against fault FLOW (a): the store applied the first write of a host after
+  # its address had been given to another one.  The balancer dropped the host that
+  # had the address, and reset its flows.
+  Scenario Outline: A late record does not displace the host that has the address
+    Given a balancer with the agents a, b, c of rounds and d of wheelbook
+    When the store lists at one address x of rounds at revision 20 and y of wheelbook at revision <revision>
+    And agent x reports, <form>
+    Then of these two only x is known
+    And agent x gets new flows
+    When the store lists at one address x of rounds at revision 20 and y of wheelbook at revision <revision>
+    Then of these two only x is known
+
+    Examples:
+      | revision | form    |
+      | 30       | full    |
+      | 30       | compact |
+      | 10       | full    |
+
+  # Guards against reports of a former host, delayed or repeated, that displace the
+  # host which has the address now.
+  Scenario: A late report does not displace the host that has the address
+    Given a balancer with the agents a, b, c of rounds and d of wheelbook
+    When the store lists at one address x of rounds at revision 20 and y of wheelbook at revision 30
+    And agent y reports, full
+    And agent x reports, full
+    Then of these two only y is known
+    When 2 s pass without a report of agent x
+    And agent x reports, full
+    And 2 s pass without a report of agent x
+    And agent y reports, full
+    Then of these two only y is known
+
+  # Guards against a host that returns from memory after its record was deleted.
+  Scenario: A displaced agent is forgotten with its record
+    Given a balancer with the agents a, b, c of rounds and d of wheelbook
+    When the store lists at one address x of rounds at revision 20 and y of wheelbook at revision 30
+    And the record of agent x is gone at revision 31
+    And agent x reports, full
+    Then of these two only y is known
--- a/features/steps/agent_records_steps.py
+++ b/features/steps/agent_records_steps.py
@@ -5,6 +5,7 @@
 
 from crocusmux.core.forward import outputs
 from crocusmux.core.forward import reports
+from crocusmux.core.forward import upstreams
 from features import balancer_sample
 from features.steps import forward_path_steps
 
@@ -141,6 +142,16 @@
         add_agent(context, record, at)
 
 
+@when("agent {host:w} reports, {form:w}")
+def agent_reports(context, host, form):
+    service = {"x": "rounds", "y": "wheelbook"}[host]
+    context.sequence += 1
+    report = balancer_sample.load_report(host, service, context.sequence)
+    if form == "compact":
+        report = reports.compact(report, upstreams.service_tag(service))
+    context.core.on_message(context.now, report)
+
+
 @when("the records of agents 1 and 2 are deleted")
 def delete_records(context):
     for number in (1, 2):
