Test that an agent ignores a loss older than its own write

Cause: no scenario failed when an agent wrote its record again for a balancer whose view of the store is old, or without the pause between two writes.

Change: two scenarios send such messages to a running agent.

--- a/features/agent_records.feature
+++ b/features/agent_records.feature
@@ -80,6 +80,18 @@
     Then the upstream that answered gets it once and the other one nothing
     And the caller gets the answer
 
+  # Guards against a call for each message of a balancer whose view of the store is
+  # some seconds old, and against more than two calls in 2 s because of a wrong one.
+  Scenario Outline: An agent writes its record again only after a later loss
+    Given a store with a route to rounds, 2 balancers and 2 agents of rounds
+    When a balancer tells agent 1 for 10 s that its record was lost at revision <revision>
+    Then agent 1 has written to the store <least> to <most> times since its start
+
+    Examples:
+      | revision | least | most |
+      | 11       | 0     | 0    |
+      | 999999   | 1     | 12   |
+
   # Guards against a record that is lost because the store was silent.
   Scenario: A record is written again once the store answers
     Given a store with a route to rounds, 2 balancers and 2 agents of rounds
--- a/features/steps/agent_records_steps.py
+++ b/features/steps/agent_records_steps.py
@@ -164,6 +164,30 @@
     context.known_agents = [(table, table.all()) for table in tables]
 
 
+@when(
+    "a balancer tells agent 1 for {seconds:d} s that its record was lost at"
+    " revision {revision:d}"
+)
+def tell_loss(context, seconds, revision):
+    context.standin.calls.clear()
+    address = ("127.0.1.1", context.ports["messages"])
+    message = reports.Subscribe(
+        "balancer-1", address, 1, "", 10.0, 0.25, record_lost_at=revision
+    )
+    for _ in range(10 * seconds):
+        context.daemons["agent", 1]._on_message(message, address)
+        pass_with_heartbeats(context, 0.1, "1 and 2")
+
+
+@then(
+    "agent 1 has written to the store {least:d} to {most:d} times since its"
+    " start"
+)
+def check_write_count(context, least, most):
+    calls = [call for call in context.standin.calls if call[0] != "GET"]
+    assert least <= len(calls) <= most, calls
+
+
 @when("{seconds:g} s pass with heartbeats of upstreams {numbers}")
 def pass_with_heartbeats(context, seconds, numbers):
     end = context.loop.time() + seconds
