Move the changes of a balancer's agents to a module of their own

Change: core/forward/agent_changes adds, removes and restores agents; behavior and the interface of ForwardingBalancer are the same.

--- a/crocusmux/core/forward/balancer.py
+++ b/crocusmux/core/forward/balancer.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 import random
 
+from crocusmux.core.forward import agent_changes
 from crocusmux.core.forward import agent_table
 from crocusmux.core.forward import chooser
 from crocusmux.core.forward import evacuations
@@ -97,6 +98,9 @@
         self._subscriptions = subscriptions.Subscriptions(
             host, address, config_source, self.agent_table, self.routes
         )
+        self._agent_changes = agent_changes.AgentChanges(
+            self.agent_table, self._subscriptions
+        )
         self._next_expiry_at = 0.0
 
     def configure(self, cfg: routes.Configuration) -> Outputs:
@@ -122,47 +126,18 @@
 
         The arguments are those of ``AgentTable.register``.
         """
-        upstream = self.agent_table.register(now, record, revision)
-        if upstream is None:
-            return []
-        detail = f"agent={record.host} service={record.service}"
-        return [
-            outputs.Event("agent-added", b"", detail, True),
-            *self._subscriptions.make([upstream]),
-        ]
+        return self._agent_changes.add(now, record, revision)
 
     def remove_agent(self, host: str) -> Outputs:
         """Removes an agent."""
-        if not self.agent_table.remove(host):
-            return []
-        return [outputs.Event("agent-removed", b"", f"agent={host}", True)]
+        return self._agent_changes.remove(host)
 
     def on_record_gone(self, now: float, host: str, revision: int) -> Outputs:
         """Removes an agent whose record is gone, unless it still reports.
 
-        An agent that reports is told, and kept until it counts as lost.
-
-        Args:
-            now: Time in seconds.
-            host: Name of the agent's host.
-            revision: Revision of the store in which the record is missing.
+        The arguments are those of ``AgentChanges.on_record_gone``.
         """
-        upstream = self.agent_table.get(host)
-        if upstream is None:
-            return self.remove_agent(host)
-        if revision < upstream.revision:
-            return []
-        if upstream.report is None or upstream.lost(now):
-            return self.remove_agent(host)
-        known = upstream.gone_at
-        upstream.gone_at = max(known, revision)
-        if known:
-            return []
-        detail = f"agent={host} revision={revision}"
-        return [
-            outputs.Event("record-gone", b"", detail, True),
-            *self._subscriptions.make([upstream]),
-        ]
+        return self._agent_changes.on_record_gone(now, host, revision)
 
     def update_evacuations(
         self,
@@ -472,7 +447,7 @@
 
     def _dispatch(self, now: float, message: reports.Message) -> Outputs:
         if isinstance(message, reports.LoadReport | reports.CompactReport):
-            sent = self._restore_agent(now, message.host)
+            sent = self._agent_changes.restore(now, message.host)
             if isinstance(message, reports.CompactReport):
                 message = self._expand(message)
             return sent + self._on_report(now, message)
@@ -486,17 +461,6 @@
             return self._resolver.on_reply(now, message)
         return []
 
-    def _restore_agent(self, now: float, host: str) -> Outputs:
-        """Restores an agent whose address a later record has taken."""
-        upstream = self.agent_table.restore(now, host)
-        if upstream is None:
-            return []
-        detail = f"agent={host} service={upstream.record.service}"
-        return [
-            outputs.Event("agent-restored", b"", detail, True),
-            *self._subscriptions.make([upstream]),
-        ]
-
     def _expand(self, report: reports.CompactReport) -> reports.LoadReport:
         upstream = self.agent_table.get(report.host)
         service = ""
@@ -574,9 +538,7 @@
             self._next_expiry_at = now + EXPIRY_INTERVAL_S
             idle_s = self.routes.idle_s + IDLE_SLACK_S
             self.flows.expire(now - idle_s)
-            for upstream in self.agent_table.all():
-                if upstream.gone_at and upstream.lost(now):
-                    sent += self.remove_agent(upstream.record.host)
+            sent += self._agent_changes.remove_lost(now)
         sent += self._resolver.on_timer(now)
         for pending in self._openings.pop_expired(now):
             # An evacuated upstream may have accepted a flow offered to it.
