Treat a connection that closes while it is set up as a failed call

Cause: TCPClient.connect sets TCP keep-alive on the stream that tornado returns. If the stream was closed since then, its socket is None, and the client raised AttributeError instead of returning a failure. In a daemon that ends the follower's task, and so the process.

Change: such a stream is a closed one, which is a failed call that may have been sent.

--- a/crocusmux/objectapi/http.py
+++ b/crocusmux/objectapi/http.py
@@ -49,6 +49,9 @@
     async def connect(self, *args: Any, **kwargs: Any) -> iostream.IOStream:
         """See ``tornado.tcpclient.TCPClient``."""
         stream = await super().connect(*args, **kwargs)
+        if stream.socket is None:
+            # The other end, or a time-out, closed the connection since then.
+            raise iostream.StreamClosedError()
         for level, option, value in (
             (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
             (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
--- a/features/platform_client.feature
+++ b/features/platform_client.feature
@@ -140,3 +140,9 @@
     When a client connects to the test server
     Then TCP keep-alive starts after 2 s without data
     And the connection is closed at most 2 s later
+
+  # Guards against a daemon that ends: its store closed a connection while the
+  # client was still setting it up, and the client raised AttributeError.
+  Scenario: A connection that closes while it is set up is a failed call
+    When a call is made on a connection that the server closes at once
+    Then the call fails without an exception
--- a/features/steps/platform_client_steps.py
+++ b/features/steps/platform_client_steps.py
@@ -2,12 +2,14 @@
 import collections
 import random
 import socket
+from unittest import mock
 import urllib.parse
 
 from behave import given
 from behave import then
 from behave import when
 import msgspec
+from tornado import tcpclient
 
 from crocusmux import errors
 from crocusmux.core.control import calls
@@ -265,6 +267,30 @@
     context.response = drive(context.loop, send())
 
 
+class ClosedStream:
+    """Stream that the other end closed before its user got it."""
+
+    socket = None
+
+
+@when("a call is made on a connection that the server closes at once")
+def call_on_closed_stream(context):
+    async def connect(*args, **kwargs):
+        return ClosedStream()
+
+    async def fetch():
+        with mock.patch.object(tcpclient.TCPClient, "connect", connect):
+            return await http.make_fetch()("GET", context.server.url, None, 5.0)
+
+    context.response = drive(context.loop, fetch())
+
+
+@then("the call fails without an exception")
+def check_call_failed(context):
+    assert context.response.status == calls.NO_RESPONSE, context.response
+    assert context.response.sent
+
+
 @when("a client connects to the test server")
 def connect(context):
     async def probe():
