--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Soak test that runs the forwarding daemons under injected faults."""
