Reset no flow before the former services of routes are known

Cause: a balancer that starts asks a peer for the former services 0.5 s after its start, and served before. It searched an open flow of a route that had moved among the agents of the present service only, and reset it when all of them had denied it, 40 to 400 ms after the start.

Change: RouteTable.knows_former_services is False until a peer has told them, or until the attempts are used up (5 s); until then no search proves a loss, and the lookup goes on.

Result: without the change the new scenario of forward_path.feature fails.

--- a/crocusmux/core/forward/holder_resolver.py
+++ b/crocusmux/core/forward/holder_resolver.py
@@ -235,6 +235,9 @@
     ) -> Outputs:
         listed_at = self._agent_table.listed_at
         if lookup.proves_loss(listed_at):
+            if not self._routes.knows_former_services:
+                # Its holder may be of a service that a peer has yet to tell.
+                return []
             return self._on_flow_lost(lookup.probe_segment.key, "denied-by-all")
         interval_s = NO_DATA_LIST_INTERVAL_S
         if lookup.probe_segment.length:
--- a/crocusmux/core/forward/routes.py
+++ b/crocusmux/core/forward/routes.py
@@ -109,6 +109,8 @@
 
     Attributes:
         configuration: The configuration; version 0 before the first.
+        knows_former_services: False while former services may be missing, as
+            this balancer has just started and no peer has told them yet.
     """
 
     __slots__ = (
@@ -116,10 +118,12 @@
         "_former_services",
         "_warmup_rates",
         "configuration",
+        "knows_former_services",
     )
 
     def __init__(self) -> None:
         self.configuration = Configuration(0)
+        self.knows_former_services = True
         self._by_address: dict[bytes, Route] = {}
         self._former_services: dict[bytes, set[str]] = {}
         self._warmup_rates: dict[str, float] = {}
--- a/crocusmux/daemons/forward_balancer.py
+++ b/crocusmux/daemons/forward_balancer.py
@@ -89,7 +89,7 @@
         self._own_source = source
         self._stopping = False
         self._stale_since: float | None = None
-        self._knows_former_services = cfg.first_start
+        self.core.routes.knows_former_services = cfg.first_start
         self._list_task: asyncio.Task | None = None
         self._hedge_timer: asyncio.TimerHandle | None = None
         self._pacer = pacing.BulkPacer(cfg.link_mbps)
@@ -316,12 +316,15 @@
                 if source != self._own_source and not self._seeded(attempt):
                     await self._fetch_state(source)
             if self._seeded(attempt):
+                # If nobody has told them, waiting longer would not help.
+                self.core.routes.knows_former_services = True
                 return
 
     def _seeded(self, attempt: int) -> bool:
         """Returns True if no peer needs to be asked any more."""
         return self._store_answered() and (
-            self._knows_former_services or attempt >= MAX_HISTORY_ATTEMPTS
+            self.core.routes.knows_former_services
+            or attempt >= MAX_HISTORY_ATTEMPTS
         )
 
     def _learn_former_services(
@@ -336,7 +339,7 @@
             return
         # A peer without a configuration has no history to tell.
         if state.config.version:
-            self._knows_former_services = True
+            self.core.routes.knows_former_services = True
 
     def _store_answered(self) -> bool:
         """Returns True once all kinds of objects have been listed."""
--- a/features/forward_path.feature
+++ b/features/forward_path.feature
@@ -71,6 +71,19 @@
     Then the upstream that answered gets it once and the other one nothing
     And the caller gets the answer
 
+  # Guards against fault FLOW (a): a balancer that had just started reset the
+  # flows of a former service before its first call to a peer, 0.5 s later.
+  Scenario: A balancer resets no flow before it knows the former services
+    Given a store with a route to rounds, 2 balancers and 2 agents of rounds
+    When a caller opens a flow through balancer 1
+    Then the caller gets a SYN+ACK
+    When the caller acknowledges it through balancer 1
+    And the operator moves the route to wheelbook
+    And agent 3 of wheelbook starts
+    And balancer 3 starts again
+    And the caller sends a request through balancer 3 until it gets a packet
+    Then the caller gets the answer
+
   # Guards against two calls to the store by each agent after a loss of power: a
   # restarted agent created its record, which exists, and then replaced it.
   Scenario: An agent announces itself with one call at its first and later starts
--- a/features/steps/forward_path_steps.py
+++ b/features/steps/forward_path_steps.py
@@ -96,10 +96,14 @@
     return ports
 
 
+def service_of(context, number):
+    return getattr(context, "services", {}).get(number, "rounds")
+
+
 def settings(context, role, number):
     ip = f"127.0.{1 if role == 'balancer' else 2}.{number}"
     port = context.ports
-    seed = ("127.0.1.1", port["control"])
+    seed_numbers = getattr(context, "seed_numbers", (1,))
     return forwarding.HostSettings(
         role=role,
         host=f"{role}-{number}",
@@ -112,14 +116,14 @@
         control=(ip, port["control"]),
         messages=(ip, port["messages"]),
         metrics=(ip, port["metrics"]),
-        seeds=(seed,),
+        seeds=tuple((f"127.0.1.{n}", port["control"]) for n in seed_numbers),
         store=context.standin.address,
         heartbeat_s=1.2,
         grace_s=6.0,
         first_start=getattr(context, "first_start", True),
         evacuations=getattr(context, "evacuations", False),
         hedge_share=getattr(context, "hedge_share", 0.0),
-        service="rounds" if role == "agent" else "",
+        service=service_of(context, number) if role == "agent" else "",
         upstream=(ip, port["app"]) if role == "agent" else ("", 0),
         outbound=(ip, port["outbound"]) if role == "agent" else ("", 0),
     )
@@ -174,7 +178,7 @@
 def send_heartbeat(context, number, sequence, path="heartbeat", state="ready"):
     ip = f"127.0.2.{number}"
     body = {
-        "service": "rounds",
+        "service": service_of(context, number),
         "address": f"{ip}:{context.ports['app']}",
         "zone": "abay",
         "version": "v1",
@@ -576,6 +580,31 @@
     start_daemon(context, "balancer", number)
 
 
+@when("agent 3 of wheelbook starts")
+def start_wheelbook(context):
+    context.services = {3: "wheelbook"}
+    start_daemon(context, "agent", 3)
+    assert send_heartbeat(context, 3, 1).status == 200
+
+
+@when("balancers 1 and 3 start again with balancers 1 and 2 as their seeds")
+def start_together(context):
+    context.first_start = False
+    context.seed_numbers = (1, 2)
+    kill_daemon(context, "balancer", 1)
+    for number in (1, 3):
+        start_daemon(context, "balancer", number)
+
+
+@when("the caller sends a request through balancer 3 until it gets a packet")
+def send_until_packet(context):
+    def got_packet():
+        send_request(context, 3)
+        return context.caller
+
+    wait_until(context, got_packet, 10)
+
+
 @then("balancer 3 is not ready before it has evacuated {domain:w}")
 def not_ready_before(context, domain):
     core = context.daemons["balancer", 3].core
