Learn former services only from a peer that knows them

Cause: of balancers that started together, each took the state of another one, which had a configuration from the store but had itself not learned the former services, for the complete history. It then reset open flows of a moved route.

Change: PeerState says whether its sender knows the former services (a new last field, which older releases neither send nor read); a balancer that gets False asks the next seed.

Result: without the change the new scenario of forward_path.feature fails.

--- a/crocusmux/daemons/forward_balancer.py
+++ b/crocusmux/daemons/forward_balancer.py
@@ -338,7 +338,7 @@
             self._messenger.record_bad_input(exc, source)
             return
         # A peer without a configuration has no history to tell.
-        if state.config.version:
+        if state.config.version and state.knows_former_services:
             self.core.routes.knows_former_services = True
 
     def _store_answered(self) -> bool:
@@ -425,6 +425,7 @@
             tuple(reporting),
             self.core.routes.former_services(),
             tuple(sorted(self.core.evacuated)),
+            self.core.routes.knows_former_services,
         )
 
 
--- a/crocusmux/forwarding.py
+++ b/crocusmux/forwarding.py
@@ -208,9 +208,13 @@
             sends none.
         evacuated: Evacuated failure domains that the sender knows; a peer of an
             older release sends none.
+        knows_former_services: False while the sender itself has just started
+            and looks for a peer that tells them; a peer of an older release
+            does not send it.
     """
 
     config: routes.Configuration
     agents: tuple[upstreams.AgentRecord, ...]
     former_services: tuple[routes.FormerServices, ...] = ()
     evacuated: tuple[str, ...] = ()
+    knows_former_services: bool = True
--- a/features/forward_path.feature
+++ b/features/forward_path.feature
@@ -84,6 +84,18 @@
     And the caller sends a request through balancer 3 until it gets a packet
     Then the caller gets the answer
 
+  # Guards against fault FLOW (a): of two balancers that started together, one
+  # took the other's empty list of former services for complete.
+  Scenario: A balancer learns the former services from a peer that knows them
+    Given a store with a route to rounds, 2 balancers and 2 agents of rounds
+    When a caller opens a flow through balancer 1
+    Then the caller gets a SYN+ACK
+    When the caller acknowledges it through balancer 1
+    And the operator moves the route to wheelbook
+    And balancers 1 and 3 start again with balancers 1 and 2 as their seeds
+    And the caller sends a request through balancer 3 until it gets a packet
+    Then the caller gets the answer
+
   # Guards against two calls to the store by each agent after a loss of power: a
   # restarted agent created its record, which exists, and then replaced it.
   Scenario: An agent announces itself with one call at its first and later starts
