--- /dev/null
+++ b/features/soak.feature
@@ -0,0 +1,44 @@
+Feature: The forwarding daemons keep their rules under injected faults
+  The soak test runs them as processes (docs/developers.md).
+
+  # Guards against faults that only real processes, sockets and kills show, such
+  # as a reset of an open flow by a balancer that has just started.
+  Scenario: A run of 10 s breaks no rule
+    When the soak test runs for 10 s with seed 96
+    Then it ends with status 0
+    And it has injected 14 faults and seen at least 300 requests
+
+  # Guards against a failing seed that cannot be repeated.
+  Scenario: A seed determines the faults
+    Then two plans of 60 s with seed 7 are the same
+    And plans of 60 s with seeds 7 and 8 differ
+    And in plans of 60 s all faults end within 60 s, one at a time on a host
+
+  # Guards against a soak test that passes because it checks nothing.
+  Scenario Outline: The soak test reports <what>
+    Given a checker of the soak test with a route that leads to rounds
+    When <what> is observed
+    Then the checker reports <rule>
+
+    Examples:
+      | what                                            | rule                       |
+      | a reset of an open flow                         | open-flow-reset            |
+      | a reset of a flow that nobody holds             | nothing                    |
+      | a reset of a flow after its route was dropped   | nothing                    |
+      | a reset of a flow whose route was dropped for 2 s | nothing                  |
+      | a reset of a flow that began after that         | open-flow-reset            |
+      | a reset while the agent was away for 3 s        | nothing                    |
+      | a reset while the agent was away for 2 s        | open-flow-reset            |
+      | a booking that runs at two upstreams            | request-runs-twice         |
+      | a repeatable request that runs at two upstreams | nothing                    |
+      | a request that runs after a refusal             | run-after-refusal          |
+      | a refusal after a request ran                   | run-after-refusal          |
+      | an opening at an upstream of calidad            | opening-of-other-service   |
+      | an opening at rounds 6 s after a move           | opening-of-other-service   |
+      | an opening at rounds 4 s after a move           | nothing                    |
+      | an opening at rounds 6 s after a move, cut off  | nothing                    |
+      | an opening 6 s after an evacuation              | opening-of-evacuated-domain |
+      | an opening 4 s after an evacuation              | nothing                    |
+      | an old configuration after 6 s                  | configuration-in-force     |
+      | an old configuration after 4 s                  | nothing                    |
+      | a daemon that ends                              | daemon-ended               |
--- /dev/null
+++ b/features/steps/soak_steps.py
@@ -0,0 +1,251 @@
+import pathlib
+import re
+import subprocess
+import sys
+import tempfile
+import types
+
+from behave import given
+from behave import then
+from behave import when
+
+from crocusmux.core.forward import routes
+from soak import daemons
+from soak import plan
+from soak import rules
+from soak import upstreams
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+# Start, faults, late writes, recovery and end of a run beside load.
+EXTRA_TIMEOUT_S = 150
+ADDRESS = ("198.18.0.1", 8443)
+KEY = routes.encode_flow_key(("127.20.9.1", 5000), ADDRESS)
+ISN = 700
+
+
+@when("the soak test runs for {seconds:d} s with seed {seed:d}")
+def run_soak(context, seconds, seed):
+    cmd = [sys.executable, "-m", "soak"]
+    cmd += ["--seed", str(seed), "--seconds", str(seconds)]
+    process = subprocess.Popen(
+        cmd,
+        cwd=ROOT,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+    )
+    try:
+        context.output, _ = process.communicate(
+            timeout=seconds + EXTRA_TIMEOUT_S
+        )
+    finally:
+        # It ends its daemons, which a kill would leave behind.
+        process.terminate()
+        process.wait()
+    context.status = process.returncode
+
+
+@then("it ends with status {status:d}")
+def check_status(context, status):
+    assert context.status == status, context.output
+
+
+@then("it has injected {faults:d} faults and seen at least {count:d} requests")
+def check_counts(context, faults, count):
+    counts = dict(re.findall(r"(\S+)=(\d+)", context.output))
+    assert int(counts["fault"]) == faults, counts
+    assert int(counts["request"]) >= count, counts
+
+
+@then("two plans of {seconds:d} s with seed {seed:d} are the same")
+def check_same_plans(context, seconds, seed):
+    first = plan.make_plan(seed, seconds)
+    assert first and first == plan.make_plan(seed, seconds)
+
+
+@then("plans of {seconds:d} s with seeds {first:d} and {second:d} differ")
+def check_different_plans(context, seconds, first, second):
+    assert plan.make_plan(first, seconds) != plan.make_plan(second, seconds)
+
+
+@then(
+    "in plans of {seconds:d} s all faults end within {limit:d} s, one at a time"
+    " on a host"
+)
+def check_plan(context, seconds, limit):
+    for seed in range(50):
+        ends = {}
+        for fault in plan.make_plan(seed, seconds):
+            assert fault.at_s >= ends.get(fault.target, 0.0), fault
+            ends[fault.target] = fault.at_s + fault.duration_s
+            assert ends[fault.target] <= limit, fault
+
+
+class Clock:
+    def __init__(self):
+        self.now = 100.0
+
+
+def make_daemon(context, name):
+    return daemons.Daemon(None, None, name, "abay", "")
+
+
+def make_upstream(context, number, service):
+    daemon = make_daemon(context, f"agent-{number}")
+    # Only these attributes are read, and a real one needs an event loop.
+    return types.SimpleNamespace(
+        name=daemon.name,
+        daemon=daemon,
+        service=service,
+        domain="abay",
+        boot=1,
+        held={},
+        half_open={},
+    )
+
+
+@given("a checker of the soak test with a route that leads to rounds")
+def make_checker(context):
+    context.clock = Clock()
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.first = make_upstream(context, 1, "rounds")
+    context.second = make_upstream(context, 2, "rounds")
+    context.balancer = make_daemon(context, "balancer-1")
+    context.checker = rules.Checker(
+        lambda: context.clock.now,
+        pathlib.Path(folder.name) / "log",
+        [context.balancer],
+        {"upstream-1": context.first, "upstream-2": context.second},
+    )
+    context.add_cleanup(context.checker.close)
+    context.checker.find_flow = lambda key: types.SimpleNamespace(
+        balancers={"balancer-1"},
+        began_at=context.clock.now - context.flow_age_s,
+        first_ack=ISN + 1,
+    )
+    context.flow_age_s = 0.0
+    context.route = rules.Route("r", ADDRESS, "rounds", False)
+    context.checker.on_configuration(1, [context.route])
+    context.clock.now += 10
+    context.first.held[KEY] = upstreams.HeldFlow(ISN, 1)
+
+
+@when("a reset of an open flow is observed")
+def observe_reset(context):
+    context.checker.on_reset(KEY)
+
+
+@when("a reset of a flow that nobody holds is observed")
+def observe_reset_of_lost(context):
+    context.first.held.clear()
+    context.checker.on_reset(KEY)
+
+
+@when("a reset of a flow after its route was dropped is observed")
+def observe_reset_without_route(context):
+    context.checker.on_configuration(2, [])
+    context.clock.now += 1
+    context.checker.on_reset(KEY)
+
+
+@when("a reset of a flow whose route was dropped for 2 s is observed")
+def observe_reset_after_gap(context):
+    context.checker.on_configuration(2, [])
+    context.clock.now += 2
+    context.checker.on_configuration(3, [context.route])
+    context.clock.now += 1
+    context.flow_age_s = 2.0
+    context.checker.on_reset(KEY)
+
+
+@when("a reset of a flow that began after that is observed")
+def observe_reset_of_later_flow(context):
+    context.checker.on_configuration(2, [])
+    context.clock.now += 2
+    context.checker.on_configuration(3, [context.route])
+    context.clock.now += 1
+    context.checker.on_reset(KEY)
+
+
+@when("a reset while the agent was away for {seconds:d} s is observed")
+def observe_reset_without_agent(context, seconds):
+    context.first.daemon.away_since = context.clock.now - seconds
+    context.checker.on_reset(KEY)
+
+
+def run_twice(context, repeatable):
+    request_id = "r1" if repeatable else rules.ONCE + "r1"
+    context.checker.on_run(context.first, KEY, request_id)
+    context.checker.on_run(context.second, KEY, request_id)
+
+
+@when("a booking that runs at two upstreams is observed")
+def observe_two_runs(context):
+    run_twice(context, False)
+
+
+@when("a repeatable request that runs at two upstreams is observed")
+def observe_two_repeatable_runs(context):
+    run_twice(context, True)
+
+
+@when("a request that runs after a refusal is observed")
+def observe_run_after_refusal(context):
+    context.checker.on_refusal(KEY)
+    context.checker.on_run(context.first, KEY, "r1")
+
+
+@when("a refusal after a request ran is observed")
+def observe_refusal_after_run(context):
+    context.checker.on_run(context.first, KEY, "r1")
+    context.checker.on_refusal(KEY)
+
+
+@when("an opening at an upstream of calidad is observed")
+def observe_foreign_opening(context):
+    context.checker.on_opening(make_upstream(context, 3, "calidad"), KEY)
+
+
+def move_route(context):
+    moved = rules.Route("r", ADDRESS, "wheelbook", False)
+    context.checker.on_configuration(2, [moved])
+
+
+@when("an opening at rounds {seconds:d} s after a move is observed")
+def observe_late_opening(context, seconds):
+    move_route(context)
+    context.clock.now += seconds
+    context.checker.on_opening(context.first, KEY)
+
+
+@when("an opening at rounds {seconds:d} s after a move, cut off is observed")
+def observe_opening_while_cut_off(context, seconds):
+    with context.checker.trouble("balancer-1"):
+        observe_late_opening(context, seconds)
+
+
+@when("an opening {seconds:d} s after an evacuation is observed")
+def observe_evacuated_opening(context, seconds):
+    context.checker.evacuated_at["abay"] = context.clock.now
+    context.clock.now += seconds
+    context.checker.on_opening(context.first, KEY)
+
+
+@when("an old configuration after {seconds:d} s is observed")
+def observe_old_configuration(context, seconds):
+    move_route(context)
+    context.clock.now += seconds
+    context.checker.on_config_version("balancer-1", 1)
+
+
+@when("a daemon that ends is observed")
+def observe_exit(context):
+    context.checker.on_exit("balancer-1", 1)
+
+
+@then("the checker reports {rule}")
+def check_report(context, rule):
+    found = context.checker.violations
+    assert len(found) == (rule != "nothing"), found
+    assert all(x.startswith(f"rule={rule} flow=") for x in found), found
--- a/features/steps/structure_steps.py
+++ b/features/steps/structure_steps.py
@@ -1,5 +1,6 @@
 import ast
 import importlib.util
+import itertools
 import pathlib
 import subprocess
 import sys
@@ -61,7 +62,8 @@
 @then("every import of the package names a module")
 def check_modules_imported(context):
     violations = []
-    for path in sorted((ROOT / "crocusmux").rglob("*.py")):
+    paths = (ROOT / "crocusmux").rglob("*.py"), (ROOT / "soak").rglob("*.py")
+    for path in sorted(itertools.chain(*paths)):
         for module, name in imports(path):
             if name is None or module in EXEMPT:
                 continue
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,6 +1,7 @@
 """Runs the forwarding daemons under faults that a seed determines.
 
     python -m soak --seed N --seconds S [--plan]
+    python -m soak --cases
 
 Prints the broken rules, if any, and a summary.  Exit status: 0, 1 if a rule was
 broken, 2 if the test could not run.  The logs of a run that failed are kept.
@@ -8,7 +9,6 @@
 
 import argparse
 import asyncio
-import contextlib
 import pathlib
 import shutil
 import signal
@@ -20,6 +20,7 @@
 from soak import system
 
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+CASES = pathlib.Path(__file__).parent / "cases.txt"
 
 
 async def run(seed: int, seconds: float, folder: pathlib.Path) -> int:
@@ -34,52 +35,55 @@
         failures.append(str(context.get("exception", context["message"])))
 
     loop.set_exception_handler(on_exception)
-    faults = plan.make_plan(seed, seconds)
     tested = system.System(folder, seed)
     try:
         await tested.start()
-        await tested.inject(faults)
+        await tested.inject(plan.make_plan(seed, seconds))
         await tested.recover()
     finally:
         await tested.stop()
-    checker = tested.checker
-    for violation in checker.violations:
+    for violation in tested.checker.violations:
         print(f"broken: seed={seed} {violation}")
-    counts = [f"{name}={n}" for name, n in sorted(checker.counts.items())]
-    print(f"seed={seed} stalls={tested.stalls}", *counts)
-    for failure in failures:
-        print(f"could not run: seed={seed} {failure}")
-    if checker.violations:
+    counts = sorted(tested.checker.counts.items())
+    print(f"seed={seed}", *(f"{name}={count}" for name, count in counts))
+    if failures:
+        print(f"could not run: seed={seed} {failures}")
+    if tested.checker.violations:
         return BROKEN
     return NOT_RUN if failures else HELD
 
 
+def run_in_folder(seed: int, seconds: float) -> int:
+    """Runs the test in a temporary directory, which is kept if it fails."""
+    folder = pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
+    status = NOT_RUN
+    try:
+        status = asyncio.run(run(seed, seconds, folder))
+    except (errors.CrocusmuxError, OSError, asyncio.CancelledError) as exc:
+        print(f"could not run: seed={seed} {exc!r}")
+    if status == HELD:
+        shutil.rmtree(folder, ignore_errors=True)
+    else:
+        print(f"seed={seed} logs={folder}")
+    return status
+
+
 def main() -> int:
-    """Runs the test in a temporary directory; returns the exit status."""
+    """Runs one seed, or all known cases; returns the exit status."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=30.0)
-    parser.add_argument(
-        "--plan", action="store_true", help="print the faults and stop"
-    )
+    parser.add_argument("--plan", action="store_true", help="print the faults")
+    parser.add_argument("--cases", action="store_true", help="run known cases")
     args = parser.parse_args()
     if args.plan:
-        for fault in plan.make_plan(args.seed, args.seconds):
-            print(fault)
+        print(*plan.make_plan(args.seed, args.seconds), sep="\n")
         return HELD
-    folder = pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
-    status = NOT_RUN
-    try:
-        status = asyncio.run(run(args.seed, args.seconds, folder))
-    except (errors.CrocusmuxError, OSError, asyncio.CancelledError) as exc:
-        print(f"could not run: seed={args.seed} {exc!r}")
-    finally:
-        if status == HELD:
-            with contextlib.suppress(OSError):
-                shutil.rmtree(folder)
-        else:
-            print(f"seed={args.seed} logs={folder}")
-    return status
+    if not args.cases:
+        return run_in_folder(args.seed, args.seconds)
+    lines = CASES.read_text().splitlines()
+    numbers = [line.split()[:2] for line in lines if not line.startswith("#")]
+    return max(run_in_folder(int(n), float(s)) for n, s in numbers)
 
 
 if __name__ == "__main__":
--- a/soak/daemons.py
+++ b/soak/daemons.py
@@ -24,9 +24,7 @@
     """A balancer or an agent on a host of its own.
 
     Attributes:
-        name: Name of the host.
-        role: "balancer" or "agent".
-        number: Number of the host among those of the role.
+        name: Name of the host, "balancer" or "agent" with a number.
         away_since: Start of the present outage, seconds; None while it runs.
             An outage ends when the daemon answers a readiness check.
         outages: Start and end of each past outage, seconds.
@@ -36,15 +34,13 @@
         self,
         net: network.Network,
         folder: pathlib.Path,
-        role: str,
-        number: int,
+        name: str,
         domain: str,
-        service: str = "",
+        service: str,
     ) -> None:
-        """Describes a daemon, which ``start`` runs."""
-        self.name = f"{role}-{number}"
-        self.role = role
-        self.number = number
+        self.name = name
+        self.role, _, number = name.partition("-")
+        self._number = int(number)
         self.away_since: float | None = None
         self.outages: list[tuple[float, float]] = []
         self.on_exit: Callable[[str, int], None] = lambda name, status: None
@@ -61,11 +57,11 @@
     @property
     def ip(self) -> str:
         """IP address of the host."""
-        return self._net.ip(self.role, self.number)
+        return self._net.ip(self.role, self._number)
 
     def address(self, port: str) -> network.Address:
         """Returns an address of the host by the name of its port."""
-        return self._net.address(self.role, self.number, port)
+        return self._net.address(self.role, self._number, port)
 
     def url(self, port: str, path: str) -> str:
         """Returns the URL of a resource of the daemon."""
@@ -75,11 +71,10 @@
         def text(port: str) -> str:
             return "{}:{}".format(*self.address(port))
 
-        listen = {name: text(name) for name in ("readiness", "control")}
-        listen["data_addr"] = text("data")
         agent = self.role == "agent"
-        if agent:
-            listen["outbound"] = text("outbound")
+        names = ("readiness", "control", "outbound")[: 3 if agent else 2]
+        listen = {name: text(name) for name in names}
+        listen["data_addr"] = text("data")
         first_port = network.PORTS["messages"]
         seeds = (self._net.address("balancer", n, "control") for n in (1, 2, 3))
         settings: dict[str, object] = {
@@ -114,21 +109,14 @@
         path = self._folder / f"{self.name}.json"
         path.write_text(json.dumps(self._settings(store)))
         self._first = False
-        keep = ("PATH", "HOME", "LANG")
-        env = {name: os.environ[name] for name in keep if name in os.environ}
+        env = dict(os.environ)
         env[host_settings.SETTINGS_VARIABLE] = str(path)
         env[host_settings.HEDGE_SHARE_VARIABLE] = str(HEDGE_SHARE)
         self._stopped = False
         with (self._folder / f"{self.name}.log").open("ab") as log:
+            cmd = (sys.executable, "-m", "crocusmux.platform", self.role)
             self._process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                "crocusmux.platform",
-                self.role,
-                cwd=ROOT,
-                env=env,
-                stdout=log,
-                stderr=log,
+                *cmd, cwd=ROOT, env=env, stdout=log, stderr=log
             )
         status = await self._process.wait()
         self._begin_outage()
@@ -141,54 +129,26 @@
 
     def end_outage(self) -> None:
         """Records that the daemon answers readiness checks."""
-        # An answer that was sent before a signal says nothing about the time
-        # after it.
+        # An answer may have been sent before the signal.
         if self.away_since is not None and not self._stopped:
             now = asyncio.get_running_loop().time()
             self.outages.append((self.away_since, now))
             self.away_since = None
 
-    def _send(self, number: signal.Signals) -> None:
+    def send(self, number: signal.Signals) -> None:
+        """Sends a signal; a process that ends starts again after a delay."""
+        self._stopped = number != signal.SIGCONT
+        if self._stopped:
+            self._begin_outage()
         if self._process is not None and self._process.returncode is None:
             with contextlib.suppress(ProcessLookupError):
                 self._process.send_signal(number)
 
-    def kill(self) -> None:
-        """Ends the process at once; it starts again after a delay."""
-        self._stopped = True
-        self._begin_outage()
-        self._send(signal.SIGKILL)
-
-    async def terminate(self) -> None:
-        """Stops the process as planned work does; it starts again."""
-        process = self._process
-        if process is None:
-            return
-        self._stopped = True
-        self._begin_outage()
-        self._send(signal.SIGTERM)
-        try:
-            await asyncio.wait_for(process.wait(), GRACE_S)
-        except TimeoutError:
-            if process is self._process:
-                self._send(signal.SIGKILL)
-
-    def suspend(self) -> None:
-        """Stops the process without ending it."""
-        self._stopped = True
-        self._begin_outage()
-        self._send(signal.SIGSTOP)
-
-    def resume(self) -> None:
-        """Lets a suspended process go on."""
-        self._stopped = False
-        self._send(signal.SIGCONT)
-
     async def close(self) -> None:
         """Ends the process for good."""
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
-        self.kill()
+        self.send(signal.SIGKILL)
         if self._process is not None:
             await self._process.wait()
--- a/soak/network.py
+++ b/soak/network.py
@@ -3,21 +3,13 @@
 import os
 import socket
 
-from crocusmux import errors
 from crocusmux.platform import packets
 
 Address = tuple[str, int]
 
 # Below the range of ephemeral ports, so that no outgoing connection takes one.
-PORTS = {
-    "data": 21_000,
-    "readiness": 21_001,
-    "control": 21_002,
-    "outbound": 21_003,
-    "app": 21_004,
-    "messages": 21_005,
-    "lock": 21_006,
-}
+PORT_NAMES = "data readiness control outbound app messages lock"
+PORTS = {name: 21_000 + n for n, name in enumerate(PORT_NAMES.split())}
 # Second parts of the addresses 127.x.y.z of a run.
 FIRST_NET, NETS = 20, 230
 GROUPS = {"balancer": 1, "agent": 2, "store": 3, "caller": 9}
@@ -27,11 +19,6 @@
     """Addresses of one run; runs at the same time use different ones."""
 
     def __init__(self) -> None:
-        """Reserves a network.
-
-        Raises:
-            errors.CrocusmuxError: All networks are in use.
-        """
         self._lock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         for offset in range(NETS):
             self._net = FIRST_NET + (os.getpid() + offset) % NETS
@@ -40,10 +27,7 @@
             except OSError:
                 continue
             return
-        self._lock.close()
-        raise errors.CrocusmuxError(
-            "all loopback networks are in use", step="reserve addresses"
-        )
+        raise OSError("all loopback networks are in use")
 
     def ip(self, group: str, number: int) -> str:
         """Returns the IP address of a host."""
@@ -59,30 +43,12 @@
 
 
 def encode(
-    src: Address,
-    dst: Address,
-    flags: int,
-    seq: int,
-    ack: int,
-    body: bytes = b"",
+    src: Address, dst: Address, flags: int, seq: int, ack: int, body: bytes
 ) -> bytes:
     """Returns a packet; its checksum is left out, as no daemon reads it."""
-    return (
-        packets.HEADER.pack(
-            seq % 2**32,
-            ack % 2**32,
-            0,
-            dst[1],
-            socket.inet_aton(dst[0]),
-            socket.inet_aton(src[0]),
-            src[1],
-            len(body),
-            0,
-            flags,
-            0,
-        )
-        + body
-    )
+    ips = (socket.inet_aton(dst[0]), socket.inet_aton(src[0]))
+    fields = (seq % 2**32, ack % 2**32, 0, dst[1], *ips, src[1], len(body))
+    return packets.HEADER.pack(*fields, 0, flags, 0) + body
 
 
 def ends_of(key: bytes) -> tuple[Address, Address]:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -4,17 +4,19 @@
 
 import msgspec
 
-BALANCERS = 4
-# Service and failure domain of each agent's host, by its number.
-AGENTS = {
-    1: ("rounds", "abay"),
-    2: ("wheelbook", "abay"),
-    3: ("rounds", "abay"),
-    4: ("wheelbook", "enbek"),
-    5: ("rounds", "enbek"),
-    6: ("wheelbook", "enbek"),
+# Failure domain of each host, and the service of its agent.
+HOSTS = {
+    "balancer-1": ("abay", ""),
+    "balancer-2": ("enbek", ""),
+    "balancer-3": ("abay", ""),
+    "balancer-4": ("enbek", ""),
+    "agent-1": ("abay", "rounds"),
+    "agent-2": ("abay", "wheelbook"),
+    "agent-3": ("abay", "rounds"),
+    "agent-4": ("enbek", "wheelbook"),
+    "agent-5": ("enbek", "rounds"),
+    "agent-6": ("enbek", "wheelbook"),
 }
-DOMAINS = ("abay", "enbek")
 # Mean time between the starts of two faults, seconds.
 FAULT_INTERVAL_S = 0.6
 # Time for which a host gets no second fault: longer than the start of a daemon
@@ -25,19 +27,19 @@
 MAX_AGENT_STOP_S = 1.5
 
 # Kind of each fault with its weight, its shortest and its longest duration in
-# seconds.  Faults with the same prefix up to the hyphen have the same targets.
+# seconds.  Faults with one prefix up to the hyphen have the same targets.
 KINDS: dict[str, tuple[int, float, float]] = {
     "balancer-kill": (3, 0.0, 0.0),
-    "balancer-restart": (2, 0.0, 0.0),
+    "balancer-term": (2, 0.0, 0.0),
     "balancer-stop": (2, 0.3, 2.0),
     "balancer-cut": (2, 0.5, 4.0),
     "balancer-storeless": (2, 0.5, 4.0),
     "agent-kill": (3, 0.0, 0.0),
-    "agent-restart": (2, 0.0, 0.0),
+    "agent-term": (2, 0.0, 0.0),
     "agent-stop": (2, 0.3, MAX_AGENT_STOP_S),
     "agent-cut": (1, 0.3, 2.0),
-    "upstream-crash": (2, 0.5, 3.0),
-    "upstream-drain": (2, 1.0, 3.0),
+    "upstream-crash": (2, 1.0, 6.0),
+    "upstream-drain": (2, 1.0, 6.0),
     "store-silent": (1, 1.0, 4.0),
     "store-slow": (1, 1.0, 4.0),
     "store-reset": (1, 1.0, 4.0),
@@ -52,15 +54,7 @@
 
 
 class Fault(msgspec.Struct, frozen=True):
-    """A fault to inject.
-
-    Attributes:
-        at_s: Start, seconds since the start of the faults.
-        kind: One of ``KINDS``.
-        target: Name of the host, domain or part that it affects.
-        duration_s: Duration in seconds; 0 for a single event.
-        degree: Strength from 0 to 1, used as each kind requires.
-    """
+    """A fault of one of ``KINDS``; its degree is a strength from 0 to 1."""
 
     at_s: float
     kind: str
@@ -68,20 +62,9 @@
     duration_s: float
     degree: float
 
-    def __str__(self) -> str:
-        return (
-            f"{self.kind} target={self.target} at_s={self.at_s:.2f}"
-            f" duration_s={self.duration_s:.2f} degree={self.degree:.2f}"
-        )
-
 
 def make_plan(seed: int, seconds: float) -> list[Fault]:
-    """Returns the faults of a run by their start.
-
-    Args:
-        seed: Seed of the run.
-        seconds: Time within which all faults start and end.
-    """
+    """Returns the faults of a seed, which start and end within seconds."""
     rng = random.Random(seed)
     names, weights = list(KINDS), [weight for weight, _, _ in KINDS.values()]
     free_at: dict[str, float] = {}
@@ -97,23 +80,15 @@
         _, least, most = KINDS[kind]
         duration_s = min(rng.uniform(least, most), seconds - at_s)
         degree = rng.random()
-        # An agent and the upstream beside it are on one host.
-        host = target.replace("upstream", "agent")
-        if at_s >= free_at.get(host, 0.0):
-            pause_s = HOST_PAUSE_S if group in _HOST_GROUPS else 0.0
-            free_at[host] = at_s + duration_s + pause_s
+        if at_s >= free_at.get(target, 0.0):
+            pause_s = HOST_PAUSE_S if target in HOSTS else 0.0
+            free_at[target] = at_s + duration_s + pause_s
             plan.append(Fault(at_s, kind, target, duration_s, degree))
 
 
-_HOST_GROUPS = ("balancer", "agent", "upstream")
-
-
 def _targets(group: str) -> list[str]:
-    if group == "balancer":
-        return [f"balancer-{n + 1}" for n in range(BALANCERS)]
-    if group in ("agent", "upstream"):
-        return [f"{group}-{n}" for n in AGENTS]
-    if group == "domain":
-        # Never both, as all openings would be refused.
-        return [DOMAINS[1]]
-    return [group]
+    # An agent and the upstream beside it are on one host.
+    role = "agent" if group == "upstream" else group
+    hosts = [name for name in HOSTS if name.startswith(role)]
+    # Never both domains, as all openings would be refused.
+    return ["enbek"] if group == "domain" else hosts or [group]
--- a/soak/router.py
+++ b/soak/router.py
@@ -24,27 +24,23 @@
 
     Attributes:
         loss: Share of the packets that are dropped in each direction.
-        cut: IP addresses of daemons whose packets from and to callers are
-            dropped.
-        on_packet: Called with each packet for a caller.
+        cut: IP addresses of daemons that no caller's packet reaches or leaves.
     """
 
     def __init__(
         self,
         net: network.Network,
-        balancers: Sequence[daemons.Daemon],
-        agents: Sequence[daemons.Daemon],
+        hosts: Sequence[daemons.Daemon],
         rng: random.Random,
     ) -> None:
-        """Binds the addresses of the callers."""
         self.loss = 0.0
         self.cut: set[str] = set()
         self.on_packet: Callable[[bytes], None]
-        self._balancers = balancers
-        self._agents = agents
+        self._hosts = hosts
+        self._balancers = [x for x in hosts if x.role == "balancer"]
         self._rng = rng
         self._fetch = http.make_fetch()
-        self._misses = {daemon.name: MAX_MISSES for daemon in balancers}
+        self._misses = {daemon.name: MAX_MISSES for daemon in hosts}
         self._sockets = {
             net.ip("caller", n): udp.UdpSocket(
                 net.address("caller", n, "data"), self._on_datagram
@@ -59,21 +55,15 @@
             sock.close()
 
     def rotation(self) -> list[daemons.Daemon]:
-        """Returns the balancers that get packets.
-
-        If less than half are ready, all get packets.
-        """
-        ready = [
-            x for x in self._balancers if self._misses[x.name] < MAX_MISSES
-        ]
-        enough = 2 * len(ready) >= len(self._balancers)
-        return ready if enough else list(self._balancers)
+        """Returns the ready balancers, or all if less than half are ready."""
+        known = self._balancers
+        ready = [x for x in known if self._misses[x.name] < MAX_MISSES]
+        return ready if 2 * len(ready) >= len(known) else known
 
     def all_ready(self) -> bool:
         """Returns True if all daemons answer their readiness checks."""
-        return not any(self._misses.values()) and all(
-            x.away_since is None for x in (*self._balancers, *self._agents)
-        )
+        away = any(daemon.away_since for daemon in self._hosts)
+        return not away and not any(self._misses.values())
 
     def send(self, key: bytes, data: bytes) -> str:
         """Sends a caller's packet; returns the name of its balancer."""
@@ -92,22 +82,14 @@
     async def check_readiness(self) -> None:
         """Checks all daemons until cancelled."""
         while True:
-            await asyncio.gather(
-                asyncio.sleep(CHECK_INTERVAL_S),
-                *(self._check_balancer(x) for x in self._balancers),
-                *(self._answers(x) for x in self._agents),
-            )
-
-    async def _check_balancer(self, daemon: daemons.Daemon) -> None:
-        ready = await self._answers(daemon) and daemon.ip not in self.cut
+            checks = (self._check(daemon) for daemon in self._hosts)
+            await asyncio.gather(asyncio.sleep(CHECK_INTERVAL_S), *checks)
+
+    async def _check(self, daemon: daemons.Daemon) -> None:
+        url = daemon.url("readiness", READY_PATH)
+        response = await self._fetch("GET", url, None, CHECK_TIMEOUT_S)
+        if response.status == 200:
+            daemon.end_outage()
+        ready = response.status == 200 and daemon.ip not in self.cut
         misses = 0 if ready else self._misses[daemon.name] + 1
         self._misses[daemon.name] = misses
-
-    async def _answers(self, daemon: daemons.Daemon) -> bool:
-        response = await self._fetch(
-            "GET", daemon.url("readiness", READY_PATH), None, CHECK_TIMEOUT_S
-        )
-        if response.status != 200:
-            return False
-        daemon.end_outage()
-        return True
--- a/soak/store.py
+++ b/soak/store.py
@@ -22,57 +22,39 @@
     Attributes:
         fault: Kind of the present fault: "silent", "slow", "reset", "reject",
             "lost" or "late"; empty if there is none.
-        degree: Strength of the fault, 0 to 1.
-        cut_ips: Client addresses whose connections get no answer.
+        cut_ips: Client addresses whose calls get no answer.
         writes_lost: Writes whose answer was lost or that were applied late.
     """
 
     def __init__(self, ip: str) -> None:
-        """Serves at a free port of an IP address."""
         super().__init__(ip)
         self.fault = ""
-        self.degree = 0.0
+        self._degree = 0.0
         self.cut_ips: set[str] = set()
         self.writes_lost = 0
-        self._unanswered: list[tuple[str, iostream.IOStream]] = []
+        self._unanswered: list[iostream.IOStream] = []
 
     def set_fault(self, kind: str, degree: float) -> None:
-        """Starts a fault."""
-        self.fault, self.degree = kind, degree
+        """Starts a fault, or ends it, if its kind is empty."""
+        self.fault, self._degree = kind, degree
         if kind == "reset":
             self.cut_watches()
+        self.close_unanswered()
 
-    def clear_fault(self) -> None:
-        """Ends the fault, and closes the connections that got no answer."""
-        self.fault = ""
-        self._close_unanswered("")
-
-    def cut_off(self, ip: str) -> None:
-        """Lets the calls of a client get no answer."""
-        self.cut_ips.add(ip)
-
-    def reconnect(self, ip: str) -> None:
-        """Ends ``cut_off``."""
-        self.cut_ips.discard(ip)
-        self._close_unanswered(ip)
-
-    def _close_unanswered(self, ip: str) -> None:
-        kept = []
-        for client, stream in self._unanswered:
-            if ip in ("", client):
-                stream.close()
-            else:
-                kept.append((client, stream))
-        self._unanswered = kept
+    def close_unanswered(self) -> None:
+        """Closes the connections of calls that got no answer."""
+        for stream in self._unanswered:
+            stream.close()
+        self._unanswered.clear()
 
     def handle_request(self, req: httputil.HTTPServerRequest) -> None:
         """Answers a request, or fails as the present fault says."""
         if self._is_silent_to(req):
-            self._leave_unanswered(req)
+            self._unanswered.append(_detach(req))
         elif self.fault == "reset":
             _detach(req).close()
         elif self.fault == "reject":
-            self.respond(req, 429 if self.degree < 0.5 else 503)
+            self.respond(req, 429 if self._degree < 0.5 else 503)
         elif self.fault in ("lost", "late") and req.method != "GET":
             self._write_unanswered(req)
         else:
@@ -81,9 +63,6 @@
     def _is_silent_to(self, req: httputil.HTTPServerRequest) -> bool:
         return self.fault == "silent" or req.remote_ip in self.cut_ips
 
-    def _leave_unanswered(self, req: httputil.HTTPServerRequest) -> None:
-        self._unanswered.append((str(req.remote_ip), _detach(req)))
-
     def _write_unanswered(self, req: httputil.HTTPServerRequest) -> None:
         """Applies a write without an answer: at once, or late and maybe twice.
 
@@ -99,24 +78,22 @@
             self.write_object(*write)
             _detach(req).close()
             return
-        delay_s = MIN_LATE_S + self.degree * (MAX_LATE_S - MIN_LATE_S)
+        delay_s = MIN_LATE_S + self._degree * (MAX_LATE_S - MIN_LATE_S)
         loop.call_later(delay_s, self.write_object, *write)
-        if self.degree > 0.5:
+        if self._degree > 0.5:
             loop.call_later(MAX_LATE_S, self.write_object, *write)
-        self._leave_unanswered(req)
+        self._unanswered.append(_detach(req))
 
     def respond(
         self, req: httputil.HTTPServerRequest, status: int, body: Any = None
     ) -> None:
         """Sends an answer, unless the present fault delays or drops it."""
         if self._is_silent_to(req):
-            self._leave_unanswered(req)
-        elif self.fault == "slow":
-            asyncio.get_running_loop().call_later(
-                self.degree * MAX_SLOW_S, self._send, req, status, body
-            )
-        else:
-            self._send(req, status, body)
+            self._unanswered.append(_detach(req))
+            return
+        delay_s = self._degree * MAX_SLOW_S if self.fault == "slow" else 0.0
+        loop = asyncio.get_running_loop()
+        loop.call_later(delay_s, self._send, req, status, body)
 
     def _send(
         self, req: httputil.HTTPServerRequest, status: int, body: Any
--- a/soak/system.py
+++ b/soak/system.py
@@ -1,9 +1,10 @@
 """A small deployment under faults, with its callers and rules."""
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 import pathlib
 import random
+import signal
 
 import msgspec
 
@@ -32,97 +33,72 @@
 FETCH_TIMEOUT_S = 1.0
 # Faults of the store that keep balancers from reading it.
 UNREADABLE = ("silent", "reset", "reject")
-
 ROUTES = (
     rules.Route("feeds", ("198.18.0.1", 8443), "rounds", True),
     rules.Route("bookings", ("198.18.0.2", 8443), "wheelbook", False),
     rules.Route("moving", ("198.18.0.3", 8443), "rounds", False),
     rules.Route("temporary", ("198.18.0.4", 8443), "rounds", True),
 )
+# Numbers of the route whose service changes, and of the last one, which is
+# dropped at times.
 MOVING, TEMPORARY = 2, 3
 
 
 class System:
-    """Daemons, store, router, upstreams and callers of one run.
-
-    Attributes:
-        checker: Checks the rules.
-        stalls: Times at which the test itself was late.
-    """
+    """Daemons, store, router, upstreams and callers of one run."""
 
     def __init__(self, folder: pathlib.Path, seed: int) -> None:
-        """Binds the addresses; ``start`` runs the processes."""
         rng = random.Random(seed)
-        now = asyncio.get_running_loop().time
-        self.stalls = 0
-        self._now = now
+        self._now = now = asyncio.get_running_loop().time
         self._net = network.Network()
         self._store = store.FaultyStore(self._net.ip("store", 1))
-        self._balancers = {
-            f"balancer-{n}": daemons.Daemon(
-                self._net, folder, "balancer", n, domain
-            )
-            for n, domain in enumerate(plan.DOMAINS * 2, 1)
-        }
-        self._agents = {
-            f"agent-{n}": daemons.Daemon(
-                self._net, folder, "agent", n, domain, service
-            )
-            for n, (service, domain) in plan.AGENTS.items()
+        self._daemons = {
+            name: daemons.Daemon(self._net, folder, name, domain, service)
+            for name, (domain, service) in plan.HOSTS.items()
         }
         self._upstreams = {
-            f"upstream-{n}": upstreams.Upstream(
-                self._agents[f"agent-{n}"], service, domain, rng
-            )
-            for n, (service, domain) in plan.AGENTS.items()
+            name: upstreams.Upstream(self._daemons[name], *place, rng)
+            for name, place in plan.HOSTS.items()
+            if name.startswith("agent")
         }
-        balancers = list(self._balancers.values())
-        self._contacts = rules.Contacts(now, balancers)
-        self.checker = rules.Checker(
-            now, folder / "soak.log", self._contacts, self._upstreams
-        )
-        agents = list(self._agents.values())
-        self._router = router.Router(self._net, balancers, agents, rng)
+        hosts = list(self._daemons.values())
+        log = folder / "soak.log"
+        self.checker = rules.Checker(now, log, hosts, self._upstreams)
+        self._router = router.Router(self._net, hosts, rng)
         self._callers = callers.Callers(self._router, self.checker, rng)
-        self.checker.find_balancers = self._callers.find_balancers
+        self.checker.find_flow = self._callers.flows.__getitem__
         self._routes = list(ROUTES)
         self._dropped = False
         self._version = 0
         self._fetch = http.make_fetch()
         self._tasks: set[asyncio.Task] = set()
-        for daemon in (*balancers, *agents):
+        for daemon in hosts:
             daemon.on_exit = self.checker.on_exit
         for upstream in self._upstreams.values():
             upstream.on_opening = self.checker.on_opening
             upstream.on_run = self.checker.on_run
 
     async def start(self) -> None:
-        """Starts all parts, and waits until all daemons serve.
-
-        Raises:
-            errors.CrocusmuxError: They do not serve in time.
-        """
+        """Starts all parts, and waits until all daemons serve."""
         self._publish()
-        for daemon in (*self._balancers.values(), *self._agents.values()):
+        for daemon in self._daemons.values():
             daemon.start(self._store.address)
         for upstream in self._upstreams.values():
             upstream.start()
         process.start_task(self._tasks, self._router.check_readiness())
-        ready = self._router.all_ready
-        if not await process.wait_until(ready, START_TIMEOUT_S):
-            raise errors.CrocusmuxError(
-                f"daemons are not ready after {START_TIMEOUT_S} s", step="start"
-            )
+        await self._wait_for_start(self._router.all_ready)
         process.start_task(self._tasks, self._watch_stalls())
         process.start_task(self._tasks, self._watch_versions())
         self._callers.start()
-        if not await process.wait_until(self._calm, START_TIMEOUT_S):
-            raise errors.CrocusmuxError(
-                "requests fail before the first fault", step="start"
-            )
+        await self._wait_for_start(self._calm)
+
+    async def _wait_for_start(self, condition: Callable[[], bool]) -> None:
+        if not await process.wait_until(condition, START_TIMEOUT_S):
+            detail = f"not ready: {self._callers.failures(CALM_S)[:10]}"
+            raise errors.CrocusmuxError(detail, step="start")
 
     def _calm(self) -> bool:
-        return self._router.all_ready() and self._callers.calm(CALM_S)
+        return self._router.all_ready() and not self._callers.failures(CALM_S)
 
     async def inject(self, faults: Sequence[plan.Fault]) -> None:
         """Injects faults at their times, and waits until all have ended."""
@@ -144,7 +120,7 @@
             await asyncio.sleep(store.MAX_LATE_S)
         left_s = ended_at + RECOVERY_BOUND_S - self._now()
         if not await process.wait_until(self._calm, left_s, POLL_INTERVAL_S):
-            detail = self._callers.describe_failures(CALM_S)
+            detail = f"failures={self._callers.failures(CALM_S)[:10]}"
             self.checker.report("recovery", "-", detail)
         took_s = self._now() - ended_at
         self.checker.note("recovered", took_s=f"{took_s:.2f}")
@@ -154,8 +130,7 @@
         self._callers.stop()
         for task in list(self._tasks):
             task.cancel()
-        daemons_ = (*self._balancers.values(), *self._agents.values())
-        await asyncio.gather(*(daemon.close() for daemon in daemons_))
+        await asyncio.gather(*(x.close() for x in self._daemons.values()))
         for upstream in self._upstreams.values():
             upstream.crash()
         self._router.close()
@@ -164,76 +139,58 @@
         self.checker.close()
 
     def _publish(self) -> None:
-        """Writes the routes to the store as a new configuration."""
         self._version += 1
-        routes = [
-            route
-            for number, route in enumerate(self._routes)
-            if number != TEMPORARY or not self._dropped
-        ]
-        state = {
-            "version": self._version,
-            "routes": [_encode_route(route) for route in routes],
-        }
-        self._store.put("config", "main", state)
+        routes = self._routes[:TEMPORARY] if self._dropped else self._routes
+        encoded = [_encode_route(route) for route in routes]
+        content = {"version": self._version, "routes": encoded}
+        self._store.put("config", "main", content)
         self.checker.on_configuration(self._version, routes)
 
     async def _inject_one(self, fault: plan.Fault) -> None:
         group, _, action = fault.kind.partition("-")
-        if group == "store":
-            await self._disturb_store(fault, action)
-        elif group == "upstream":
-            await self._end_upstream(fault, action)
-        elif group in ("balancer", "agent"):
-            await self._disturb_daemon(fault, action)
-        elif group == "config":
-            await self._change_routes(fault, action)
-        elif group == "domain":
-            await self._evacuate(fault)
-        else:
-            self._router.loss += fault.degree * MAX_LOSS
-            await asyncio.sleep(fault.duration_s)
-            self._router.loss -= fault.degree * MAX_LOSS
+        inject = {
+            "store": self._disturb_store,
+            "upstream": self._end_upstream,
+            "config": self._change_routes,
+            "domain": self._evacuate,
+            "network": self._lose_packets,
+        }
+        await inject.get(group, self._disturb_daemon)(fault, action)
+
+    async def _lose_packets(self, fault: plan.Fault, action: str) -> None:
+        self._router.loss = fault.degree * MAX_LOSS
+        await asyncio.sleep(fault.duration_s)
+        self._router.loss = 0.0
 
     async def _disturb_store(self, fault: plan.Fault, action: str) -> None:
         self._store.set_fault(action, fault.degree)
-        if action in UNREADABLE:
-            self._contacts.begin_trouble("all")
-        await asyncio.sleep(fault.duration_s)
-        self._store.clear_fault()
-        if action in UNREADABLE:
-            self._contacts.end_trouble("all")
+        with self.checker.trouble("all" if action in UNREADABLE else "none"):
+            await asyncio.sleep(fault.duration_s)
+            self._store.set_fault("", 0.0)
 
     async def _end_upstream(self, fault: plan.Fault, action: str) -> None:
         upstream = self._upstreams[fault.target]
         if action == "drain":
-            await upstream.drain(fault.duration_s)
-            await asyncio.sleep(daemons.RESTART_DELAY_S)
-        else:
-            upstream.crash()
-            await asyncio.sleep(fault.duration_s)
+            await upstream.drain(fault.duration_s / 2)
+        upstream.crash()
+        await asyncio.sleep(fault.duration_s / 2)
         upstream.start()
 
     async def _disturb_daemon(self, fault: plan.Fault, action: str) -> None:
-        daemon = (self._balancers | self._agents)[fault.target]
-        if action == "kill":
-            daemon.kill()
-        elif action == "restart":
-            await daemon.terminate()
-        elif action == "stop":
-            daemon.suspend()
+        daemon = self._daemons[fault.target]
+        if action in ("kill", "term", "stop"):
+            daemon.send(signal.Signals[f"SIG{action.upper()}"])
             await asyncio.sleep(fault.duration_s)
-            daemon.resume()
-        elif action == "cut":
-            self._router.cut.add(daemon.ip)
-            await asyncio.sleep(fault.duration_s)
-            self._router.cut.discard(daemon.ip)
-        else:
-            self._store.cut_off(daemon.ip)
-            self._contacts.begin_trouble(daemon.name)
+            if action == "stop":
+                daemon.send(signal.SIGCONT)
+            return
+        cut = action == "cut"
+        blocked = self._router.cut if cut else self._store.cut_ips
+        with self.checker.trouble("none" if cut else daemon.name):
+            blocked.add(daemon.ip)
             await asyncio.sleep(fault.duration_s)
-            self._store.reconnect(daemon.ip)
-            self._contacts.end_trouble(daemon.name)
+            blocked.discard(daemon.ip)
+            self._store.close_unanswered()
 
     async def _change_routes(self, fault: plan.Fault, action: str) -> None:
         if action == "move":
@@ -241,15 +198,14 @@
             other = "rounds" if route.service == "wheelbook" else "wheelbook"
             changed = msgspec.structs.replace(route, service=other)
             self._routes[MOVING] = changed
+        else:
+            self._dropped = True
             self._publish()
-            return
-        self._dropped = True
-        self._publish()
-        await asyncio.sleep(fault.duration_s)
-        self._dropped = False
+            await asyncio.sleep(fault.duration_s)
+            self._dropped = False
         self._publish()
 
-    async def _evacuate(self, fault: plan.Fault) -> None:
+    async def _evacuate(self, fault: plan.Fault, action: str) -> None:
         self._store.put("evacuations", fault.target, {})
         self.checker.evacuated_at[fault.target] = self._now()
         await asyncio.sleep(fault.duration_s)
@@ -262,29 +218,24 @@
             began_at = self._now()
             await asyncio.sleep(POLL_INTERVAL_S)
             if self._now() - began_at > POLL_INTERVAL_S + STALL_S:
-                self.stalls += 1
                 self.checker.note("stall")
-                self._contacts.begin_trouble("all")
-                self._contacts.end_trouble("all")
+                with self.checker.trouble("all"):
+                    pass
 
     async def _watch_versions(self) -> None:
-        """Checks which configuration each balancer uses."""
         while True:
             await asyncio.sleep(POLL_INTERVAL_S)
-            await asyncio.gather(
-                *(self._check_version(x) for x in self._balancers.values())
-            )
+            for daemon in self._daemons.values():
+                if daemon.role == "balancer":
+                    await self._check_version(daemon)
 
     async def _check_version(self, daemon: daemons.Daemon) -> None:
-        response = await self._fetch(
-            "GET", daemon.url("control", "/state"), None, FETCH_TIMEOUT_S
-        )
+        url = daemon.url("control", "/state")
+        response = await self._fetch("GET", url, None, FETCH_TIMEOUT_S)
         if response.status == 200 and daemon.away_since is None:
-            state = msgspec.msgpack.decode(
-                response.body, type=forwarding.PeerState
-            )
-            version = state.config.version
-            self.checker.on_config_version(daemon.name, version)
+            kind = forwarding.PeerState
+            state = msgspec.msgpack.decode(response.body, type=kind)
+            self.checker.on_config_version(daemon.name, state.config.version)
 
 
 def _encode_route(route: rules.Route) -> dict[str, object]:
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -19,26 +19,18 @@
 # Time between two attempts to deliver a status report that got no answer.
 RETRY_S = 0.3
 CALL_TIMEOUT_S = 1.0
-# First bytes of a request's body, before its id.
-REQUEST_PREFIX = b"request "
-ANSWER_PREFIX = b"answer "
 
 
 class HeldFlow:
     """A flow that a boot of an upstream has open.
 
-    Attributes:
-        isn: Initial sequence number of the upstream.
-        expected: Sequence number of the caller's next data.
-        sent_end: Sequence number after the upstream's last data.
-        answers: Answers by the sequence number of their requests; None while
-            the request runs.
+    ``answers`` has the answers by the sequence number of their requests, or
+    None while a request runs.
     """
 
     __slots__ = ("answers", "expected", "isn", "sent_end")
 
     def __init__(self, isn: int, expected: int) -> None:
-        """Opens the flow; ``expected`` is the caller's next number."""
         self.isn = isn
         self.expected = expected
         self.sent_end = isn + 1
@@ -46,33 +38,22 @@
 
 
 class Upstream:
-    """Upstream of one host over several boots.
-
-    Attributes:
-        daemon: The agent beside it.
-        service: Its service.
-        domain: Its failure domain.
-        boot: Number of the present boot; 0 before the first.
-        running: True while a boot serves.
-        held: Open flows of the present boot.
-        on_opening: Called with each opening that arrives.
-        on_run: Called with each request that runs, by flow key and id.
-    """
+    """Upstream of one host over several boots, beside the agent ``daemon``."""
 
     def __init__(
         self,
         daemon: daemons.Daemon,
-        service: str,
         domain: str,
+        service: str,
         rng: random.Random,
     ) -> None:
-        """Describes an upstream, which ``start`` runs."""
         self.daemon = daemon
+        self.name = daemon.name
         self.service = service
         self.domain = domain
         self.boot = 0
-        self.running = False
         self.held: dict[bytes, HeldFlow] = {}
+        # Initial sequence numbers of flows that are not open yet.
         self.half_open: dict[bytes, int] = {}
         self.on_opening: Callable[[Upstream, bytes], None]
         self.on_run: Callable[[Upstream, bytes, str], None]
@@ -84,15 +65,9 @@
         self._sequence = 0
         self._born_ms = 0
 
-    @property
-    def name(self) -> str:
-        """Name of the upstream's host."""
-        return self.daemon.name
-
     def start(self) -> None:
         """Starts a new boot, which knows no flow."""
         self.boot += 1
-        self.running = True
         self._state = "ready"
         self._sequence = 0
         self._born_ms = int(time.time() * 1000)
@@ -102,7 +77,6 @@
 
     def crash(self) -> None:
         """Ends the boot without a word."""
-        self.running = False
         for task in list(self._tasks):
             task.cancel()
         if self._socket is not None:
@@ -111,14 +85,11 @@
         self.half_open.clear()
 
     async def drain(self, seconds: float) -> None:
-        """Announces a drain, serves for some time, and leaves."""
-        boot = self.boot
+        """Announces a drain, serves for some time, and announces the end."""
         self._state = "draining"
         await self._send_heartbeat()
         await asyncio.sleep(seconds)
-        if self.running and self.boot == boot:
-            await self._call("deregister", b"")
-            self.crash()
+        await self._call("deregister", b"")
 
     async def _send_heartbeats(self) -> None:
         while True:
@@ -127,12 +98,12 @@
 
     async def _send_heartbeat(self) -> bool:
         self._sequence += 1
+        ip, port = self.daemon.address("app")
         report = {
             "service": self.service,
-            "address": "{}:{}".format(*self.daemon.address("app")),
+            "address": f"{ip}:{port}",
             "max_concurrency": SLOTS,
             "state": self._state,
-            "warmup_left_ms": 0,
             "sequence": self._sequence,
             "born": self._born_ms,
         }
@@ -146,16 +117,17 @@
 
     def _send(
         self, key: bytes, flags: int, seq: int, ack: int, body: bytes = b""
-    ) -> None:
+    ) -> bytes:
         caller, route = network.ends_of(key)
-        self._send_raw(network.encode(route, caller, flags, seq, ack, body))
+        data = network.encode(route, caller, flags, seq, ack, body)
+        self._send_raw(data)
+        return data
 
     def _send_raw(self, data: bytes) -> None:
-        if self._socket is not None:
-            self._socket.send(data, self.daemon.address("outbound"))
+        assert self._socket is not None
+        self._socket.send(data, self.daemon.address("outbound"))
 
     def _on_datagram(self, data: bytes, sender: network.Address) -> None:
-        del sender
         seg = packets.decode_from_caller(data)
         flow = self.held.get(seg.key)
         if seg.opening:
@@ -197,15 +169,12 @@
             process.start_task(self._tasks, self._run(seg, flow))
 
     async def _run(self, seg: segments.Segment, flow: HeldFlow) -> None:
-        request = seg.data[packets.HEADER.size :]
-        request_id = request.removeprefix(REQUEST_PREFIX)
-        self.on_run(self, seg.key, request_id.decode())
+        # The body of a request, and of its answer, is its id.
+        body = seg.data[packets.HEADER.size :]
+        self.on_run(self, seg.key, body.decode())
         await asyncio.sleep(self._rng.uniform(MIN_SERVICE_S, MAX_SERVICE_S))
-        body = ANSWER_PREFIX + request_id
-        caller, route = network.ends_of(seg.key)
-        answer = network.encode(
-            route, caller, packets.ACK, flow.sent_end, flow.expected, body
+        seq = flow.sent_end
+        flow.sent_end = (seq + len(body)) % segments.SEQUENCE_MODULUS
+        flow.answers[seg.seq] = self._send(
+            seg.key, packets.ACK, seq, flow.expected, body
         )
-        flow.sent_end = (flow.sent_end + len(body)) % segments.SEQUENCE_MODULUS
-        flow.answers[seg.seq] = answer
-        self._send_raw(answer)
