Run the soak scenario with a seed that exercises the rule of evacuations

Seed 96 has a store that rejects calls during its evacuation, so the rule hardly applied. Seed 186 evacuates a domain for more than 7 s beside kills, stops, packet loss, a moved and a dropped route, and late writes.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -4,9 +4,9 @@
   # Guards against faults that only real processes, sockets and kills show, such
   # as a reset of an open flow by a balancer that has just started.
   Scenario: A run of 10 s breaks no rule
-    When the soak test runs for 10 s with seed 96
+    When the soak test runs for 10 s with seed 186
     Then it ends with status 0
-    And it has injected 14 faults and seen at least 300 requests
+    And it has injected 13 faults and seen at least 300 requests
 
   # Guards against a failing seed that cannot be repeated.
   Scenario: A seed determines the faults
