--- a/features/steps/forward_path_steps.py
+++ b/features/steps/forward_path_steps.py
@@ -97,6 +97,10 @@
     return ports
 
 
+def service_of(context, number):
+    return getattr(context, "services", {}).get(number, "rounds")
+
+
 def settings(context, role, number):
     ip = f"127.0.{1 if role == 'balancer' else 2}.{number}"
     port = context.ports
@@ -673,6 +677,31 @@
     start_daemon(context, "balancer", number)
 
 
+@when("agent 3 of wheelbook starts")
+def start_wheelbook(context):
+    context.services = {3: "wheelbook"}
+    start_daemon(context, "agent", 3)
+    assert send_heartbeat(context, 3, 1).status == 200
+
+
+@when("balancers 1 and 3 start again with balancers 1 and 2 as their seeds")
+def start_together(context):
+    context.first_start = False
+    context.seeds = (1, 2)
+    kill_daemon(context, "balancer", 1)
+    for number in (1, 3):
+        start_daemon(context, "balancer", number)
+
+
+@when("the caller sends a request through balancer 3 until it gets a packet")
+def send_until_packet(context):
+    def got_packet():
+        send_request(context, 3)
+        return context.caller
+
+    wait_until(context, got_packet, 10)
+
+
 @then("balancer 3 is not ready before it has evacuated {domain:w}")
 def not_ready_before(context, domain):
     core = context.daemons["balancer", 3].core
