--- a/features/steps/forward_path_steps.py
+++ b/features/steps/forward_path_steps.py
@@ -97,10 +97,6 @@
     return ports
 
 
-def service_of(context, number):
-    return getattr(context, "services", {}).get(number, "rounds")
-
-
 def settings(context, role, number):
     ip = f"127.0.{1 if role == 'balancer' else 2}.{number}"
     port = context.ports
