Admit no opening to a cold upstream before the rate is known

Cause: an agent without a subscription has no rate and limited nothing.

Change: while the upstream is cold, an agent that no balancer has told a configuration declines openings as "warming-up". This also holds in deployments without a rate, for the milliseconds until the first subscription.

--- a/crocusmux/core/forward/agent.py
+++ b/crocusmux/core/forward/agent.py
@@ -148,15 +148,19 @@
         slots = self.lifecycle.current.slots
         if self.load.committed(now) >= slots * (1 + MAX_QUEUED_PER_SLOT):
             return reports.DECLINED_OVERLOAD
-        rate = self._subscribers.warmup_per_s
-        if (
-            rate > 0
-            and self.lifecycle.cold(now)
-            and not self._warmup_limit.admits(now, rate)
-        ):
+        if self.lifecycle.cold(now) and not self._admits_cold(now):
             return reports.DECLINED_WARMING
         return ""
 
+    def _admits_cold(self, now: float) -> bool:
+        """Returns True if an upstream that is warming up takes a new flow."""
+        if self._subscribers.newest_config[0] == 0:
+            # The rate is unknown.  Balancers may send openings to an agent that
+            # has restarted before they subscribe again.
+            return False
+        rate = self._subscribers.warmup_per_s
+        return rate == 0 or self._warmup_limit.admits(now, rate)
+
     def _on_unknown_flow(
         self, now: float, seg: segments.Segment, balancer: Address
     ) -> Outputs:
--- a/features/forward_agent.feature
+++ b/features/forward_agent.feature
@@ -508,6 +508,17 @@
     When 20 openings each arrive at 0.1, 0.9 and 1.1 s
     Then bursts of 0, 0 and 10 are accepted
 
+  # Guards against a cold upstream that gets any number of openings: balancers go
+  # on sending to an agent that has restarted before they have subscribed again,
+  # and it does not know the rate until then (found by spec/warmup.lp).
+  Scenario: A restarted agent of a cold upstream needs the rate to admit openings
+    Given a restarted agent without a subscription whose upstream is cold for 3 s
+    When 20 openings each arrive at 0.1 and 1.1 s
+    Then bursts of 0 and 0 are accepted
+    When a balancer with version 5 subscribes with the rate 10
+    And 20 openings each arrive at 1.2 s
+    Then bursts of 10 are accepted
+
   # Guards against fault FLOW (a): an agent forgot flows after 20 s and denied
   # them, although the configuration allowed them to be idle for longer.
   Scenario Outline: An idle flow is known for as long as the configuration allows
--- a/features/steps/forward_agent_steps.py
+++ b/features/steps/forward_agent_steps.py
@@ -544,6 +544,18 @@
     cold_agent(context, seconds, rate, sequence=7)
 
 
+@given(
+    "a restarted agent without a subscription whose upstream is cold for"
+    " {seconds:g} s"
+)
+def cold_without_subscription(context, seconds):
+    new_agent(context)
+    context.core = agent.ForwardingAgent("side-1", "rounds", 8, 1.2)
+    context.began_at = context.now
+    context.accepted_at = []
+    report_cold(context, seconds, sequence=7)
+
+
 @when("a balancer with version {version:d} subscribes with the rate {rate:g}")
 def subscribe_with_rate(context, version, rate):
     message = reports.Subscribe(
