Model-check the limit of openings at a cold upstream

spec/warmup.lp: openings of two balancers at one agent, with retransmissions, a restart of the agent, and a rate that rises and falls.

--- a/spec/check.py
+++ b/spec/check.py
@@ -29,6 +29,7 @@
     "evacuations": 20,
     "former_services": 14,
     "records": 12,
+    "warmup": 10,
 }
 
 # Rules of the ownership protocol, by the predicate that they define.  With
@@ -106,6 +107,16 @@
     "condition": "names_revision.",
     "record": "names_incarnation.",
 }
+# Two balancers, five flows, and a rate that rises and falls.
+WARMUP = {
+    "daemons": """
+        balancer(p; q). flow(1..5). window(3). restart_budget(1).
+        limit(1, 1). limit(2, 2). limit(3, 1).""",
+    "limit": "agent_limits.",
+    "copies": "",
+    "restart": "assumes_full.",
+    "rate": "needs_rate.",
+}
 
 
 class Check(msgspec.Struct, frozen=True):
@@ -147,6 +158,16 @@
     )
 
 
+def _warmup(name: str, broken: dict[str, str]) -> Check:
+    return Check(
+        f"too many openings at a cold upstream: {name}",
+        "warmup",
+        "too_many_openings",
+        WARMUP,
+        broken,
+    )
+
+
 CHECKS = (
     _ownership(
         "ran twice: one answer too few",
@@ -297,6 +318,13 @@
         RECORDS,
         {"record": ""},
     ),
+    _warmup("each balancer limits by itself", {"limit": "balancers_limit."}),
+    _warmup(
+        "a retransmission counts as admitted",
+        {"copies": "passes_retransmissions."},
+    ),
+    _warmup("a restarted agent takes its upstream as new", {"restart": ""}),
+    _warmup("an agent without a subscription has no limit", {"rate": ""}),
 )
 # A run in which no action could happen a step earlier and no step is empty.
 LONGEST_RUN = """
