Deny data of a flow that was declined because of silence

Cause: an agent that declined an opening, as its upstream had not answered for 0.1 s, forgot the flow.

Change: the agent denies such a flow for 10 s, as one that its upstream returned.

Result: "An agent denies a flow that it declined because of silence" failed before the change (the upstream got the data) and passes with it, as do forward_agent, forward_path, forward_balancer, hedging, upstream_health, forward_warmup and lookups.

--- a/crocusmux/core/forward/agent.py
+++ b/crocusmux/core/forward/agent.py
@@ -28,7 +28,7 @@
 IDLE_SLACK_S = 5.0
 MAX_FLOWS = 20_000
 # Time for which the agent itself denies a flow whose segment the upstream
-# returned; longer than a holder lookup takes.
+# returned, or whose opening it left unanswered; longer than a holder lookup takes.
 ABSENCE_TTL_S = 10.0
 # If the first heartbeat received has at most this sequence number, the upstream
 # started after the agent, which therefore knows all of its flows.
@@ -458,7 +458,7 @@
             self._silent_since = now
             detail = f"unanswered_s={now - since:.2f}"
             sent.append(outputs.Event("upstream-silent", b"", detail, True))
-            sent += self._decline_unanswered()
+            sent += self._decline_unanswered(now)
             sent += self._report_change(now)
         if self._is_dead(now):
             sent += self._reset_all(now)
@@ -472,12 +472,15 @@
             and self.lifecycle.missed_heartbeat(now)
         )
 
-    def _decline_unanswered(self) -> Outputs:
+    def _decline_unanswered(self, now: float) -> Outputs:
         reason = reports.DECLINED_SILENT
         sent: Outputs = []
         for key, flow in list(self._flows.items()):
             if flow.upstream_isn is None and not flow.open and not flow.probing:
                 del self._flows[key]
+                # The upstream has the opening, so it must not get data by which
+                # the caller goes on with another one.
+                self._returned_at[key] = now
                 sent.append(self._make_decline(key, flow.balancer, reason))
         return sent
 
--- a/features/forward_agent.feature
+++ b/features/forward_agent.feature
@@ -105,6 +105,18 @@
     Then the opening is declined as "upstream-silent"
     And the agent reports that it takes no flows
 
+  # Guards against data at an upstream whose SYN+ACK the caller did not accept: it
+  # has the opening although its agent has declined it (found by spec/hedging.lp,
+  # "denies_silent").
+  Scenario: An agent denies a flow that it declined because of silence
+    Given an agent of rounds whose upstream is ready
+    When a balancer sends an opening
+    And 0.15 s pass at the agent
+    Then the opening is declined as "upstream-silent"
+    When a balancer sends data of that flow without a probe
+    Then the upstream does not get it
+    And the balancer gets a denial of the flow
+
   # Guards against an upstream that counts as silent for good.
   Scenario: Any packet of the upstream ends its silence
     Given an agent of rounds whose upstream is ready
--- a/features/steps/forward_agent_steps.py
+++ b/features/steps/forward_agent_steps.py
@@ -149,6 +149,11 @@
     assert not outputs_of(context, outputs.Reset)
 
 
+@when("a balancer sends data of that flow without a probe")
+def send_data(context):
+    from_balancer(context, segment(context.key, length=100))
+
+
 @when("the upstream returns the segment")
 def returns_segment(context):
     from_upstream(context, segment(context.key, returned=True, length=100))
