Decline an opening that arrives after data of its flow

Change: while it probes, the agent declines an opening of the flow, with the reason "late-opening". Balancers whose flow is open ignore it; others offer the flow elsewhere.

--- a/crocusmux/core/forward/agent.py
+++ b/crocusmux/core/forward/agent.py
@@ -122,6 +122,9 @@
     ) -> Outputs:
         reason = self._decline_reason(now, seg)
         flow = self._flows.get(seg.key)
+        if flow is not None and flow.probing:
+            reason = reports.DECLINED_LATE
+            return [self._make_decline(seg.key, balancer, reason)]
         if reason and flow is None:
             return [self._make_decline(seg.key, balancer, reason)]
         if flow is None:
--- a/crocusmux/core/forward/reports.py
+++ b/crocusmux/core/forward/reports.py
@@ -238,6 +238,9 @@
 DECLINED_OVERLOAD = "overload"
 DECLINED_SILENT = "upstream-silent"
 DECLINED_WARMING = "warming-up"
+# The agent probes its upstream for the flow already, so its caller has gone on
+# after the opening.
+DECLINED_LATE = "late-opening"
 
 # Reasons that last at least until the agent's next report.
 DECLINED_BY_STATE = (
--- a/features/forward_agent.feature
+++ b/features/forward_agent.feature
@@ -117,6 +117,16 @@
     Then the upstream does not get it
     And the balancer gets a denial of the flow
 
+  # Guards against the same if the opening is delayed until after such data
+  # ("declines_late_syn"), and against an opening that no rule for new flows can
+  # decline.
+  Scenario: An opening that arrives after data of its flow is declined
+    Given an agent of rounds whose upstream is ready
+    When a balancer sends data of that flow without a probe
+    And a balancer sends an opening
+    Then the upstream does not get it
+    And the opening is declined as "late-opening"
+
   # Guards against an upstream that counts as silent for good.
   Scenario: Any packet of the upstream ends its silence
     Given an agent of rounds whose upstream is ready
