Model-check that one upstream at most runs a hedged flow's request

spec/hedging.lp: two offers in flight among three agents, with declines, late answers, lookups, and the death of an upstream after the choice.

--- a/spec/check.py
+++ b/spec/check.py
@@ -30,6 +30,7 @@
     "former_services": 14,
     "records": 12,
     "warmup": 10,
+    "hedging": 20,
 }
 
 # Rules of the ownership protocol, by the predicate that they define.  With
@@ -117,6 +118,13 @@
     "restart": "assumes_full.",
     "rate": "needs_rate.",
 }
+# Two offers at a time among three agents; one upstream may die.
+HEDGING = {
+    "daemons": "agent(x; y; z). max_offers(2). death_budget(1).",
+    "first_request": "probes.",
+    "silence": "denies_silent.",
+    "late_syn": "declines_late_syn.",
+}
 
 
 class Check(msgspec.Struct, frozen=True):
@@ -325,6 +333,27 @@
     ),
     _warmup("a restarted agent takes its upstream as new", {"restart": ""}),
     _warmup("an agent without a subscription has no limit", {"rate": ""}),
+    Check(
+        "request at another upstream: it goes to both without a probe",
+        "hedging",
+        "ran_at_other_upstream",
+        HEDGING,
+        {"first_request": ""},
+    ),
+    Check(
+        "request at another upstream: it had not answered the SYN for long",
+        "hedging",
+        "ran_at_other_upstream",
+        HEDGING,
+        {"silence": ""},
+    ),
+    Check(
+        "request at another upstream: a late SYN follows the request",
+        "hedging",
+        "ran_at_other_upstream",
+        HEDGING,
+        {"late_syn": ""},
+    ),
 )
 # A run in which no action could happen a step earlier and no step is empty.
 LONGEST_RUN = """
