--- a/crocusmux/core/forward/agent.py
+++ b/crocusmux/core/forward/agent.py
@@ -27,7 +27,7 @@
 IDLE_SLACK_S = 5.0
 MAX_FLOWS = 20_000
 # Time for which the agent itself denies a flow whose segment the upstream
-# returned; longer than a holder lookup takes.
+# returned, or whose opening it left unanswered; longer than a holder lookup takes.
 ABSENCE_TTL_S = 10.0
 # Requests queued for each slot at which new flows are declined.  Balancers
 # queue the flows instead and place urgent ones first; with a longer queue here
@@ -116,6 +116,9 @@
     ) -> Outputs:
         reason = self._decline_reason(now, seg)
         flow = self._flows.get(seg.key)
+        if flow is not None and flow.probing:
+            reason = reports.DECLINED_LATE
+            return [self._make_decline(seg.key, balancer, reason)]
         if reason and flow is None:
             return [self._make_decline(seg.key, balancer, reason)]
         if flow is None:
@@ -142,15 +145,19 @@
         slots = self.lifecycle.current.slots
         if self.load.committed(now) >= slots * (1 + MAX_QUEUED_PER_SLOT):
             return reports.DECLINED_OVERLOAD
-        rate = self._subscribers.warmup_per_s
-        if (
-            rate > 0
-            and self.lifecycle.cold(now)
-            and not self._warmup_limit.admits(now, rate)
-        ):
+        if self.lifecycle.cold(now) and not self._admits_cold(now):
             return reports.DECLINED_WARMING
         return ""
 
+    def _admits_cold(self, now: float) -> bool:
+        """Returns True if an upstream that is warming up takes a new flow."""
+        if self._subscribers.newest_config[0] == 0:
+            # The rate is unknown.  Balancers may send openings to an agent that
+            # has restarted before they subscribe again.
+            return False
+        rate = self._subscribers.warmup_per_s
+        return rate == 0 or self._warmup_limit.admits(now, rate)
+
     def _on_unknown_flow(
         self, now: float, seg: segments.Segment, balancer: Address
     ) -> Outputs:
@@ -376,7 +383,7 @@
             self._silent_since = now
             detail = f"unanswered_s={now - since:.2f}"
             sent.append(outputs.Event("upstream-silent", b"", detail, True))
-            sent += self._decline_unanswered()
+            sent += self._decline_unanswered(now)
             sent += self._report_change(now)
         if self._is_dead(now):
             sent += self._reset_all(now)
@@ -390,12 +397,15 @@
             and self.lifecycle.missed_heartbeat(now)
         )
 
-    def _decline_unanswered(self) -> Outputs:
+    def _decline_unanswered(self, now: float) -> Outputs:
         reason = reports.DECLINED_SILENT
         sent: Outputs = []
         for key, flow in list(self._flows.items()):
             if flow.upstream_isn is None and not flow.open and not flow.probing:
                 del self._flows[key]
+                # The upstream has the opening, so it must not get data by which
+                # the caller goes on with another one.
+                self._returned_at[key] = now
                 sent.append(self._make_decline(key, flow.balancer, reason))
         return sent
 
--- a/features/forward_agent.feature
+++ b/features/forward_agent.feature
@@ -117,6 +117,28 @@
     Then the opening is declined as "upstream-silent"
     And the agent reports that it takes no flows
 
+  # Guards against data at an upstream whose SYN+ACK the caller did not accept: it
+  # has the opening although its agent has declined it (found by spec/hedging.lp,
+  # "denies_silent").
+  Scenario: An agent denies a flow that it declined because of silence
+    Given an agent of rounds whose upstream is ready
+    When a balancer sends an opening
+    And 0.15 s pass at the agent
+    Then the opening is declined as "upstream-silent"
+    When a balancer sends data of that flow without a probe
+    Then the upstream does not get it
+    And the balancer gets a denial of the flow
+
+  # Guards against the same if the opening is delayed until after such data
+  # ("declines_late_syn"), and against an opening that no rule for new flows can
+  # decline.
+  Scenario: An opening that arrives after data of its flow is declined
+    Given an agent of rounds whose upstream is ready
+    When a balancer sends data of that flow without a probe
+    And a balancer sends an opening
+    Then the upstream does not get it
+    And the opening is declined as "late-opening"
+
   # Guards against an upstream that counts as silent for good.
   Scenario: Any packet of the upstream ends its silence
     Given an agent of rounds whose upstream is ready
@@ -551,6 +573,17 @@
     When 20 openings each arrive at 0.1, 0.9 and 1.1 s
     Then bursts of 0, 0 and 10 are accepted
 
+  # Guards against a cold upstream that gets any number of openings: balancers go
+  # on sending to an agent that has restarted before they have subscribed again,
+  # and it does not know the rate until then (found by spec/warmup.lp).
+  Scenario: A restarted agent of a cold upstream needs the rate to admit openings
+    Given a restarted agent without a subscription whose upstream is cold for 3 s
+    When 20 openings each arrive at 0.1 and 1.1 s
+    Then bursts of 0 and 0 are accepted
+    When a balancer with version 5 subscribes with the rate 10
+    And 20 openings each arrive at 1.2 s
+    Then bursts of 10 are accepted
+
   # Guards against fault FLOW (a): an agent forgot flows after 20 s and denied
   # them, although the configuration allowed them to be idle for longer.
   Scenario Outline: An idle flow is known for as long as the configuration allows
