Offer queued openings of each service, where fair queueing is on

Cause: queued openings were offered 8 in a turn of 50 ms across all services, so a long queue for one service blocked those of another one with free slots.

Change: with HostSettings.fair_queueing, which the contract "health" sets, each service has a queue of its own with 8 offers a turn and its own limit of 2,000 flows.

With the change reverted the new scenario fails: after 100 flows to rounds, the flow to wheelbook is not offered when its agent takes flows again.

--- a/crocusmux/core/forward/balancer.py
+++ b/crocusmux/core/forward/balancer.py
@@ -62,6 +62,7 @@
         *,
         hedge_share: float = 0.0,
         detect_outliers: bool = False,
+        fair_queueing: bool = False,
     ) -> None:
         """Creates a balancer without routes and agents.
 
@@ -75,6 +76,7 @@
                 0 disables hedging.
             detect_outliers: True if agents report longer service times of
                 failing upstreams; new upstreams then count as average.
+            fair_queueing: True to queue new flows for each service.
         """
         self.routes = routes.RouteTable()
         self.agent_table = agent_table.AgentTable(failure_domain)
@@ -82,7 +84,7 @@
         self.evacuated = evacuations.EvacuatedDomains()
         self.newest_config = (0, "")
         self._rng = rng
-        self._openings = openings.OpeningQueue()
+        self._openings = openings.OpeningQueue(fair_queueing)
         self._hedging = hedging.Hedging(hedge_share)
         self._chooser = chooser.UpstreamChooser(
             self.agent_table,
--- a/crocusmux/core/forward/openings.py
+++ b/crocusmux/core/forward/openings.py
@@ -4,6 +4,9 @@
 is queued while an upstream may still accept it before its caller gives up.
 """
 
+import heapq
+import itertools
+
 from crocusmux.core.forward import flow_table
 from crocusmux.core.forward import routes
 
@@ -15,10 +18,14 @@
 # Wait after which a flow misses its route's response-time goal, as a share of
 # the goal; the request takes the rest.
 QUEUE_GOAL_SHARE = 0.6
-# Queued flows offered in one turn.  Full upstreams decline within 2 ms, so this
-# bounds the messages in an overload.
+# Queued flows offered in one turn; of each service with fair queueing.  Full
+# upstreams decline within 2 ms, so this bounds the messages in an overload.
 MAX_OFFERS_PER_TURN = 8
+# Limit of queued flows; of each service with fair queueing.
 MAX_PENDING = 2_000
+# Entries in a heap beyond twice the number of queued flows above which those of
+# removed flows are dropped.
+MAX_STALE_ENTRIES = 64
 # Reason for which a flow is refused that cannot be queued any longer.
 REFUSED_TOO_LATE = "no-upstream-in-time"
 
@@ -29,32 +36,126 @@
     Attributes:
         key: Flow key.
         flow: The flow.
+        service: Service of the flow when it was queued.
         urgency: Urgency of the route; 0 is the most urgent.
         goal_deadline: Latest placement that can meet the route's response-time
             goal, seconds.
         deadline: Time at which the flow is refused, seconds.
     """
 
-    __slots__ = ("deadline", "flow", "goal_deadline", "key", "urgency")
+    __slots__ = (
+        "deadline",
+        "flow",
+        "goal_deadline",
+        "key",
+        "service",
+        "urgency",
+    )
 
     def __init__(
         self, key: bytes, flow: flow_table.Flow, route: routes.Route
     ) -> None:
         self.key = key
         self.flow = flow
+        self.service = flow.service
         self.urgency = route.urgency
         wait_s = min(CALLER_PATIENCE_S, QUEUE_BUDGET_SHARE * route.timeout_s)
         self.goal_deadline = flow.opened_at + QUEUE_GOAL_SHARE * route.target_s
         self.deadline = flow.opened_at + wait_s
 
 
-class OpeningQueue:
-    """The queued new flows of a balancer."""
+# Rank of a flow in a heap, number of the entry, and the flow.
+_Entry = tuple[tuple[float, ...], int, PendingOpening]
 
-    __slots__ = ("_pending",)
+
+class _Order:
+    """An order of the queued flows of one service.
+
+    Flows that can still meet their response-time goal go first, as a FIFO queue
+    would make every answer late in an overload.  Among them, and among the
+    others, order is by urgency, then by deadline.  Each of the two groups is a
+    heap.  A flow that misses its goal changes heaps when it reaches the top, and
+    the entry of a removed flow is dropped there, or once there are too many.
+    """
+
+    __slots__ = ("_late", "_numbers", "_queued", "_timely")
+
+    def __init__(self, queued: dict[bytes, PendingOpening]) -> None:
+        """Creates an empty order of flows; ``queued`` has those to return."""
+        self._queued = queued
+        self._late: list[_Entry] = []
+        self._timely: list[_Entry] = []
+        self._numbers = itertools.count()
+
+    def push(self, now: float, pending: PendingOpening) -> None:
+        """Adds a flow that was queued or popped."""
+        rank = (pending.urgency, pending.deadline)
+        late = pending.goal_deadline < now
+        heap = self._late if late else self._timely
+        if len(heap) > 2 * len(self._queued) + MAX_STALE_ENTRIES:
+            heap[:] = [entry for entry in heap if self._is_queued(entry[2])]
+            heapq.heapify(heap)
+        heapq.heappush(heap, (rank, next(self._numbers), pending))
+
+    def _is_queued(self, pending: PendingOpening) -> bool:
+        return self._queued.get(pending.key) is pending
+
+    def pop(self, now: float) -> PendingOpening | None:
+        """Removes and returns the first flow; None without one."""
+        while self._timely:
+            pending = heapq.heappop(self._timely)[2]
+            if not self._is_queued(pending):
+                continue
+            if pending.goal_deadline >= now:
+                return pending
+            self.push(now, pending)
+        while self._late:
+            pending = heapq.heappop(self._late)[2]
+            if self._is_queued(pending):
+                return pending
+        return None
+
+
+class _ServiceQueue:
+    """The queued new flows of one service, with fair queueing."""
+
+    __slots__ = ("_order", "queued")
 
     def __init__(self) -> None:
+        self.queued: dict[bytes, PendingOpening] = {}
+        self._order = _Order(self.queued)
+
+    def add(self, now: float, pending: PendingOpening) -> None:
+        """Queues a flow that is not queued."""
+        self.queued[pending.key] = pending
+        self._order.push(now, pending)
+
+    def next_offers(self, now: float, count: int) -> list[PendingOpening]:
+        """Returns the first flows; they stay queued."""
+        found: list[PendingOpening] = []
+        while len(found) < count:
+            pending = self._order.pop(now)
+            if pending is None:
+                break
+            found.append(pending)
+        for pending in found:
+            self._order.push(now, pending)
+        return found
+
+
+class OpeningQueue:
+    """The queued new flows of a balancer.
+
+    With fair queueing, each service has a queue of its own.
+    """
+
+    __slots__ = ("_fair", "_pending", "_services")
+
+    def __init__(self, fair: bool = False) -> None:
+        self._fair = fair
         self._pending: dict[bytes, PendingOpening] = {}
+        # Queues by service that are not empty; none without fair queueing.
+        self._services: dict[str, _ServiceQueue] = {}
 
     def __len__(self) -> int:
         return len(self._pending)
@@ -66,16 +167,36 @@
         """Queues a flow; returns False if it is too late or the queue full."""
         if not self.can_add(now, pending):
             return False
-        self._pending.setdefault(pending.key, pending)
+        known = self._pending.get(pending.key)
+        if known is not None and known.service == pending.service:
+            return True
+        self.remove(pending.key)
+        self._pending[pending.key] = pending
+        if self._fair:
+            queue = self._services.setdefault(pending.service, _ServiceQueue())
+            queue.add(now, pending)
         return True
 
     def can_add(self, now: float, pending: PendingOpening) -> bool:
         """Returns False if it is too late for a flow or the queue is full."""
-        return now < pending.deadline and len(self._pending) < MAX_PENDING
+        length = len(self._pending)
+        if self._fair:
+            length = self._queued_for(pending.service)
+        return now < pending.deadline and length < MAX_PENDING
+
+    def _queued_for(self, service: str) -> int:
+        queue = self._services.get(service)
+        return len(queue.queued) if queue else 0
 
     def remove(self, key: bytes) -> None:
         """Removes a flow that was placed or refused."""
-        self._pending.pop(key, None)
+        pending = self._pending.pop(key, None)
+        queue = self._services.get(pending.service) if pending else None
+        if pending is None or queue is None:
+            return
+        del queue.queued[key]
+        if not queue.queued:
+            del self._services[pending.service]
 
     def all(self) -> list[PendingOpening]:
         """Returns all queued flows."""
@@ -85,16 +206,21 @@
         """Removes and returns the flows whose deadline has passed."""
         expired = [x for x in self._pending.values() if x.deadline <= now]
         for pending in expired:
-            del self._pending[pending.key]
+            self.remove(pending.key)
         return expired
 
     def next_offers(self, now: float) -> list[PendingOpening]:
         """Returns the flows to offer now; they stay queued until ``remove``.
 
-        Flows that can still meet their response-time goal go first, as a FIFO
-        queue would make every answer late in an overload.  Among them, and
-        among the others, order is by urgency, then by deadline.
+        With fair queueing, a long queue for one service does not delay the
+        flows of the others.
         """
+        if self._fair:
+            return [
+                pending
+                for queue in self._services.values()
+                for pending in queue.next_offers(now, MAX_OFFERS_PER_TURN)
+            ]
         ordered = sorted(
             self._pending.values(),
             key=lambda x: (x.goal_deadline < now, x.urgency, x.deadline),
--- a/crocusmux/daemons/forward_balancer.py
+++ b/crocusmux/daemons/forward_balancer.py
@@ -85,6 +85,7 @@
             rng,
             hedge_share=cfg.hedge_share,
             detect_outliers=cfg.detect_outliers,
+            fair_queueing=cfg.fair_queueing,
         )
         self._own_source = source
         self._stopping = False
--- a/crocusmux/forwarding.py
+++ b/crocusmux/forwarding.py
@@ -43,6 +43,7 @@
             openings, 0 to 1; 0 disables hedging.
         detect_outliers: True to avoid upstreams that fail part of their
             requests.
+        fair_queueing: True to queue new flows for each service.
     """
 
     role: Literal["balancer", "agent"]
@@ -66,6 +67,7 @@
     hedge_share: float = 0.0
     link_mbps: float = 0.0
     detect_outliers: bool = False
+    fair_queueing: bool = False
 
 
 class StoredObject(msgspec.Struct, frozen=True):
--- a/crocusmux/platform/host_settings.py
+++ b/crocusmux/platform/host_settings.py
@@ -147,4 +147,5 @@
         upstream=addresses.split(fields.app) if agent else ("", 0),
         outbound=addresses.split(listen.outbound) if agent else ("", 0),
         detect_outliers=HEALTH_CONTRACT in fields.contracts,
+        fair_queueing=HEALTH_CONTRACT in fields.contracts,
     )
--- a/features/balancer_sample.py
+++ b/features/balancer_sample.py
@@ -98,9 +98,8 @@
     return [host_at(context, o.to) for o in offers(context.outs)]
 
 
-def start(
-    context, domain="abay", cfg=None, hedge_share=0.0, detect_outliers=False
-):
+def start(context, domain="abay", cfg=None, **options):
+    """Starts a balancer; ``options`` are keyword arguments of its class."""
     context.now = 100.0
     context.sequence = 1
     context.outs = []
@@ -111,8 +110,7 @@
         BALANCER_ADDRESS,
         "10.0.0.9:8166",
         random.Random(1),
-        hedge_share=hedge_share,
-        detect_outliers=detect_outliers,
+        **options,
     )
     context.core.configure(cfg or configuration(5))
 
@@ -128,9 +126,9 @@
     return outs
 
 
-def start_with_agents(context, cfg=None, hedge_share=0.0):
+def start_with_agents(context, cfg=None, hedge_share=0.0, **options):
     """Starts with the agents a, b, c of rounds and d of wheelbook."""
-    start(context, cfg=cfg, hedge_share=hedge_share)
+    start(context, cfg=cfg, hedge_share=hedge_share, **options)
     for number, host in enumerate("abcd", 1):
         service = "wheelbook" if host == "d" else "rounds"
         context.core.add_agent(
