Choose one in five queued openings without regard to urgency

Cause: urgent requests above the capacity left nothing to the others.

Change: of the openings offered from a service's queue, every fifth is the first without regard to urgency, in an order of its own heap. An opening that no upstream takes does not count. The explanation of a new flow follows.

--- a/crocusmux/core/forward/balancer.py
+++ b/crocusmux/core/forward/balancer.py
@@ -337,7 +337,7 @@
             chosen = self._chooser.choose(now, seg.key, flow.service, tried)
         if chosen is None:
             return self._on_no_upstream(now, seg, flow)
-        self._openings.remove(seg.key)
+        self._openings.remove(seg.key, offered=True)
         if not flow.offered_hosts:
             flow.first_offered_at = now
         flow.offered_hosts.append(chosen.record.host)
--- a/crocusmux/core/forward/openings.py
+++ b/crocusmux/core/forward/openings.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+from collections.abc import Callable
 import heapq
 import itertools
 
@@ -36,6 +37,9 @@
 # Groups of callers, one of which goes before the other.  An order of single callers
 # makes more of them just miss their goal, as the last ones wait for all others.
 CALLER_GROUPS = 2
+# Of the offered flows of a queue, one in this many is chosen without regard to
+# urgency, so that urgent flows above the capacity leave the others a share.
+ANY_URGENCY_INTERVAL = 5
 # Reason for which a flow is refused that cannot be queued any longer.
 REFUSED_TOO_LATE = "no-upstream-in-time"
 
@@ -82,8 +86,9 @@
         self.deadline = flow.opened_at + wait_s
 
 
+_Rank = tuple[float, ...]
 # Rank of a flow in a heap, number of the entry, and the flow.
-_Entry = tuple[tuple[float, ...], int, PendingOpening]
+_Entry = tuple[_Rank, int, PendingOpening]
 
 
 def caller_group(key: bytes, wall_time: float) -> int:
@@ -102,13 +107,20 @@
     return digest % CALLER_GROUPS
 
 
-def _rank(now: float, pending: PendingOpening) -> tuple[float, ...]:
+def _rank(now: float, pending: PendingOpening) -> _Rank:
     """Returns the place of a flow in the order of its service, least first."""
+    return _rank_without_urgency(now, pending, pending.urgency)
+
+
+def _rank_without_urgency(
+    now: float, pending: PendingOpening, urgency: int = 0
+) -> _Rank:
+    """Returns the place of a flow as if all had the same urgency."""
     if pending.goal_deadline < now:
-        return True, pending.urgency, pending.deadline
+        return True, urgency, pending.deadline
     return (
         False,
-        pending.urgency,
+        urgency,
         pending.caller_turn,
         pending.caller_group,
         pending.deadline,
@@ -133,10 +145,20 @@
     the entry of a removed flow is dropped there, or once there are too many.
     """
 
-    __slots__ = ("_late", "_numbers", "_queued", "_timely")
+    __slots__ = ("_late", "_numbers", "_queued", "_timely", "rank")
+
+    def __init__(
+        self,
+        queued: dict[bytes, PendingOpening],
+        rank: Callable[[float, PendingOpening], _Rank],
+    ) -> None:
+        """Creates an empty order.
 
-    def __init__(self, queued: dict[bytes, PendingOpening]) -> None:
-        """Creates an empty order of flows; ``queued`` has those to return."""
+        Args:
+            queued: The flows that are queued, by key.
+            rank: Returns the place of a flow at a time, least first.
+        """
+        self.rank = rank
         self._queued = queued
         self._late: list[_Entry] = []
         self._timely: list[_Entry] = []
@@ -144,7 +166,7 @@
 
     def push(self, now: float, pending: PendingOpening) -> None:
         """Adds a flow that was queued or popped."""
-        rank = _rank(now, pending)
+        rank = self.rank(now, pending)
         heap = self._late if rank[0] else self._timely
         if len(heap) > 2 * len(self._queued) + MAX_STALE_ENTRIES:
             heap[:] = [entry for entry in heap if self._is_queued(entry[2])]
@@ -177,11 +199,20 @@
         queued: The flows by key.
     """
 
-    __slots__ = ("_caller_counts", "_order", "queued")
+    __slots__ = (
+        "_by_caller",
+        "_by_urgency",
+        "_caller_counts",
+        "_offered",
+        "queued",
+    )
 
     def __init__(self) -> None:
         self.queued: dict[bytes, PendingOpening] = {}
-        self._order = _Order(self.queued)
+        self._by_urgency = _Order(self.queued, _rank)
+        self._by_caller = _Order(self.queued, _rank_without_urgency)
+        # Flows that were offered from this queue.
+        self._offered = 0
         # Queued flows by caller and urgency.
         self._caller_counts: collections.Counter[tuple[bytes, int]]
         self._caller_counts = collections.Counter()
@@ -191,10 +222,12 @@
         self.queued[pending.key] = pending
         pending.flow.caller_turn = pending.caller_turn
         self._caller_counts[_caller(pending)] += 1
-        self._order.push(now, pending)
+        self._by_urgency.push(now, pending)
+        self._by_caller.push(now, pending)
 
-    def remove(self, pending: PendingOpening) -> None:
-        """Removes a queued flow."""
+    def remove(self, pending: PendingOpening, offered: bool) -> None:
+        """Removes a queued flow, which was offered or not."""
+        self._offered += offered
         del self.queued[pending.key]
         caller = _caller(pending)
         self._caller_counts[caller] -= 1
@@ -207,20 +240,35 @@
 
     def next_offers(self, now: float, count: int) -> list[PendingOpening]:
         """Returns the first flows; they stay queued."""
-        found: list[PendingOpening] = []
+        popped: list[tuple[_Order, PendingOpening]] = []
+        found: dict[bytes, PendingOpening] = {}
         while len(found) < count:
-            pending = self._order.pop(now)
+            order = self._order(len(found))
+            pending = order.pop(now)
             if pending is None:
                 break
-            found.append(pending)
-        for pending in found:
-            self._order.push(now, pending)
-        return found
+            popped.append((order, pending))
+            found[pending.key] = pending
+        for order, pending in popped:
+            order.push(now, pending)
+        return list(found.values())
+
+    def _order(self, position: int) -> _Order:
+        """Returns the order from which a flow is chosen.
+
+        Args:
+            position: Number of flows that are offered before it.
+        """
+        number = self._offered + position + 1
+        if number % ANY_URGENCY_INTERVAL == 0:
+            return self._by_caller
+        return self._by_urgency
 
     def goes_first(self, now: float, pending: PendingOpening) -> bool:
         """Returns True if a flow would be the first one here."""
+        rank = self._order(0).rank
         for first in self.next_offers(now, 1):
-            return _rank(now, pending) < _rank(now, first)
+            return rank(now, pending) < rank(now, first)
         return True
 
 
@@ -290,13 +338,13 @@
         queue = self._services.get(service)
         return len(queue.queued) if queue else 0
 
-    def remove(self, key: bytes) -> None:
-        """Removes a flow that was placed or refused."""
+    def remove(self, key: bytes, offered: bool = False) -> None:
+        """Removes a flow that was offered to an upstream, or given up."""
         pending = self._pending.pop(key, None)
         queue = self._services.get(pending.service) if pending else None
         if pending is None or queue is None:
             return
-        queue.remove(pending)
+        queue.remove(pending, offered)
         if not queue.queued:
             del self._services[pending.service]
 
--- a/features/overload.feature
+++ b/features/overload.feature
@@ -121,3 +121,27 @@
       | seed |
       | 1    |
       | 2    |
+
+  # Guards against urgent requests alone above the capacity, which left nothing to
+  # the others.
+  Scenario: Urgent flows leave a fifth of the offers to others
+    Given the queues of 1 balancers with one wall clock, started at different times
+    When 100 urgent flows of callers that go first and 30 bulk ones of such are queued
+    Then of the flows that are offered, at least every fifth is chosen without regard to urgency
+    And flows that no upstream takes do not count as offered
+
+  Scenario Outline: Bulk requests get a share beside too many urgent ones
+    When urgent requests of 1.6 times the capacity arrive for 5 s, with seed <seed>
+    Then at least 15 percent of the bulk ones meet their goal
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+
+  # Guards against an explanation that does not know of that share.
+  Scenario: The explanation tells when a bulk flow goes first
+    Given a balancer with fair queueing and routes to rounds and wheelbook
+    When all agents decline an urgent flow of a caller that goes last for now
+    And 4 flows were offered from the queue
+    Then the explanation of a bulk flow agrees with its opening
--- a/features/steps/overload_steps.py
+++ b/features/steps/overload_steps.py
@@ -1,3 +1,4 @@
+import copy
 import random
 
 from behave import given
@@ -102,9 +103,9 @@
 
 
 @when("all agents decline {article} {urgency} flow to rounds for now")
-def all_decline(context, article, urgency):
+def all_decline(context, article, urgency, ip="100.64.0.7"):
     number = len(context.flows)
-    context.queued = open_flow(context, number, ADDRESSES[urgency])
+    context.queued = open_flow(context, number, ADDRESSES[urgency], ip)
     for _ in range(10):
         offered = balancer_sample.offered_hosts(context)
         if not offered:
@@ -116,6 +117,18 @@
     assert context.queued in context.core._openings
 
 
+@when("all agents decline an urgent flow of a caller that goes last for now")
+def all_decline_last(context):
+    ip = next(
+        ip
+        for ip in CALLERS
+        if openings.caller_group(
+            routes.encode_flow_key((ip, 1), ROUNDS), context.now
+        )
+    )
+    all_decline(context, "an", "urgent", ip)
+
+
 @then("it is explained that a bulk flow waits-behind-others")
 def bulk_waits(context):
     check_explanation(context, BULK, ("waits", "waits-behind-others"))
@@ -423,3 +436,88 @@
 @then("without fair queueing less than {percent:d} percent of them meet it")
 def others_before(context, percent):
     assert context.before.by_load[1] < percent / 100, context.before
+
+
+@when(
+    "{urgent:d} urgent flows of callers that go first and {bulk:d} bulk ones of"
+    " such are queued"
+)
+def urgent_and_bulk(context, urgent, bulk):
+    (queue,) = context.queues
+    # One caller each: the first of them, without regard to urgency, is the one
+    # with the earliest deadline of the group that goes first.
+    context.added = []
+    for number in range(urgent + bulk):
+        ip = f"100.64.{3 + number // 200}.{number % 200}"
+        urgency = 0 if number % 13 < 10 else 2
+        wall_time = WALL_TIME + number * 0.0005
+        context.added.append(queue.add(wall_time, ip, 20_000, urgency))
+    assert sum(x.urgency == 2 for x in context.added) == bulk
+
+
+@then(
+    "of the flows that are offered, at least every fifth is chosen without"
+    " regard to urgency"
+)
+def fifth_without_urgency(context):
+    (queue,) = context.queues
+    now = WALL_TIME + 0.1 - queue.started_at
+    context.left = list(context.added)
+
+    def first(key):
+        return min(context.left, key=key)
+
+    for number in range(1, 51):
+        pending = queue.queue.first(now, "rounds")
+        if number % 5:
+            expected = first(lambda x: (x.urgency, x.caller_group, x.deadline))
+        else:
+            expected = first(lambda x: (x.caller_group, x.deadline))
+        assert pending is expected, number
+        context.left.remove(pending)
+        queue.queue.remove(pending.key, offered=True)
+    assert any(x.urgency == 2 for x in set(context.added) - set(context.left))
+
+
+@then("flows that no upstream takes do not count as offered")
+def not_offered(context):
+    (queue,) = context.queues
+    now = WALL_TIME + 0.1 - queue.started_at
+    offers = [
+        [pending.key for pending in queue.queue.next_offers(now)]
+        for _ in range(4)
+    ]
+    assert len(offers[0]) == 8 == len(set(offers[0])), offers
+    assert offers.count(offers[0]) == 4, offers
+    for pending in context.left[:3]:
+        queue.queue.remove(pending.key)
+    first = queue.queue.first(now, "rounds")
+    assert first.urgency == 0
+
+
+@then("at least {percent:d} percent of the bulk ones meet their goal")
+def bulk_in_goal(context, percent):
+    assert context.fair.by_load[1] >= percent / 100, context.fair
+
+
+@when("{count:d} flows were offered from the queue")
+def flows_were_offered(context, count):
+    queue = context.core._openings._services["rounds"]
+    queue._offered = count
+
+
+@then("the explanation of a bulk flow agrees with its opening")
+def explanation_agrees(context):
+    context.now += 2 * upstreams.OVERLOAD_BACKOFF_S
+    outcomes = set()
+    for number in range(20):
+        ip = f"100.64.4.{number}"
+        twin = copy.deepcopy(context.core)
+        key = routes.encode_flow_key((ip, 20_000), BULK)
+        (found,) = context.core.explain(context.now, key).services
+        seg = balancer_sample.segment(key, opening=True)
+        outs = twin.on_segment(context.now, seg)
+        placed = offered_keys(outs) == [key]
+        assert placed == (found.outcome == "placed"), found
+        outcomes.add(placed)
+    assert outcomes == {False, True}, outcomes
