Log the length of the queue and the wait with each refusal

Cause: the log did not tell whether a refused flow had waited, nor behind how many others.

Change: the event refuse of a flow with a route carries queued= (openings queued for its service) and waited_ms= (since its first segment).

Result: the new scenario, which fails without the two words, passes.

--- a/crocusmux/core/forward/balancer.py
+++ b/crocusmux/core/forward/balancer.py
@@ -175,7 +175,9 @@
                 continue
             reason = self._chooser.refusal_reason(now, pending.flow.service)
             if reason == chooser.REFUSED_EVACUATED:
-                sent += self._refuse_flow(pending.key, pending.flow, reason)
+                sent += self._refuse_flow(
+                    now, pending.key, pending.flow, reason
+                )
         return sent
 
     def ready(self) -> bool:
@@ -279,7 +281,7 @@
             return []
         route = self.routes.find_route(seg.key)
         if route is None:
-            return self._refuse(seg.key, routes.REFUSED_NO_ROUTE)
+            return self._refuse(now, seg.key, routes.REFUSED_NO_ROUTE)
         self._hedging.bucket.add_opening()
         flow = self.flows.add(now, seg.key)
         flow.service = route.pick_service(self._rng.random())
@@ -442,15 +444,15 @@
             self._openings.remove(seg.key)
             return []
         reason = reason or openings.REFUSED_TOO_LATE
-        return self._refuse_flow(seg.key, flow, reason)
+        return self._refuse_flow(now, seg.key, flow, reason)
 
     def _refuse_flow(
-        self, key: bytes, flow: flow_table.Flow, reason: str
+        self, now: float, key: bytes, flow: flow_table.Flow, reason: str
     ) -> Outputs:
         self._openings.remove(key)
         self._hedging.cancel(key)
         self.flows.remove(key)
-        return self._refuse(key, reason, flow)
+        return self._refuse(now, key, reason, flow)
 
     def _on_unknown_flow(self, now: float, seg: segments.Segment) -> Outputs:
         # A flow without a route is not reset: a balancer with a newer
@@ -585,7 +587,7 @@
             # An evacuated upstream may have accepted a flow offered to it.
             if not pending.flow.offered_hosts:
                 sent += self._refuse_flow(
-                    pending.key, pending.flow, openings.REFUSED_TOO_LATE
+                    now, pending.key, pending.flow, openings.REFUSED_TOO_LATE
                 )
         sent += self._place_pending(now)
         sent += self.send_due_hedges(now)
@@ -622,7 +624,11 @@
         return outputs.Event("wait", key, detail)
 
     def _refuse(
-        self, key: bytes, reason: str, flow: flow_table.Flow | None = None
+        self,
+        now: float,
+        key: bytes,
+        reason: str,
+        flow: flow_table.Flow | None = None,
     ) -> Outputs:
         detail = f"reason={reason} config={self.routes.version}"
         if flow is not None:
@@ -630,6 +636,8 @@
             detail += (
                 f" busy={len(flow.busy_hosts)}"
                 f" declined={len(flow.declined_hosts)}"
+                f" queued={self._openings.queued_for(flow.service)}"
+                f" waited_ms={(now - flow.opened_at) * 1000:.0f}"
             )
         return [
             outputs.Event("refuse", key, detail, True),
--- a/crocusmux/core/forward/openings.py
+++ b/crocusmux/core/forward/openings.py
@@ -282,12 +282,20 @@
             seconds.
     """
 
-    __slots__ = ("_fair", "_pending", "_services", "wall_offset_s")
+    __slots__ = (
+        "_counts",
+        "_fair",
+        "_pending",
+        "_services",
+        "wall_offset_s",
+    )
 
     def __init__(self, fair: bool = False) -> None:
         self.wall_offset_s = 0.0
         self._fair = fair
         self._pending: dict[bytes, PendingOpening] = {}
+        # Queued flows by service.
+        self._counts: collections.Counter[str] = collections.Counter()
         # Queues by service that are not empty; none without fair queueing.
         self._services: dict[str, _ServiceQueue] = {}
 
@@ -322,6 +330,7 @@
             return True
         self.remove(pending.key)
         self._pending[pending.key] = pending
+        self._counts[pending.service] += 1
         if self._fair:
             queue = self._services.setdefault(pending.service, _ServiceQueue())
             queue.add(now, pending)
@@ -331,22 +340,25 @@
         """Returns False if it is too late for a flow or the queue is full."""
         length = len(self._pending)
         if self._fair:
-            length = self._queued_for(pending.service)
+            length = self.queued_for(pending.service)
         return now < pending.deadline and length < MAX_PENDING
 
-    def _queued_for(self, service: str) -> int:
-        queue = self._services.get(service)
-        return len(queue.queued) if queue else 0
+    def queued_for(self, service: str) -> int:
+        """Returns the number of queued flows of a service."""
+        return self._counts[service]
 
     def remove(self, key: bytes, offered: bool = False) -> None:
         """Removes a flow that was offered to an upstream, or given up."""
         pending = self._pending.pop(key, None)
-        queue = self._services.get(pending.service) if pending else None
-        if pending is None or queue is None:
+        if pending is None:
             return
-        queue.remove(pending, offered)
-        if not queue.queued:
-            del self._services[pending.service]
+        service = pending.service
+        self._counts[service] -= 1
+        if self._fair:
+            self._services[service].remove(pending, offered)
+        if not self._counts[service]:
+            del self._counts[service]
+            self._services.pop(service, None)
 
     def all(self) -> list[PendingOpening]:
         """Returns all queued flows."""
--- a/features/overload.feature
+++ b/features/overload.feature
@@ -145,3 +145,12 @@
     When all agents decline an urgent flow of a caller that goes last for now
     And 4 flows were offered from the queue
     Then the explanation of a bulk flow agrees with its opening
+
+  # Guards against refusals of which nobody can tell whether the queue was long.
+  Scenario: The log of a refusal tells the length of the queue and the wait
+    Given a balancer with fair queueing and routes to rounds and wheelbook
+    When all agents decline an urgent flow to rounds for now
+    And no agent takes new flows
+    And 1 s later 3 more callers open flows to rounds
+    And 0.31 s pass
+    Then the refusal is logged with 3 queued flows and a wait of 1310 ms
--- a/features/steps/overload_steps.py
+++ b/features/steps/overload_steps.py
@@ -69,6 +69,7 @@
 
 
 @given("no agent takes new flows")
+@when("no agent takes new flows")
 def none_takes_flows(context):
     balancer_sample.report_all(context, "abcd", accepting=False)
 
@@ -521,3 +522,23 @@
         assert placed == (found.outcome == "placed"), found
         outcomes.add(placed)
     assert outcomes == {False, True}, outcomes
+
+
+@when("{seconds:g} s later {count:d} more callers open flows to rounds")
+def more_open(context, seconds, count):
+    context.now += seconds
+    balancer_sample.report_all(context, "abcd", accepting=False)
+    for number in range(count):
+        open_flow(context, 100 + number)
+
+
+@then(
+    "the refusal is logged with {queued:d} queued flows and a wait of"
+    " {wait:d} ms"
+)
+def refusal_logged(context, queued, wait):
+    (event,) = events(context, "refuse")
+    words = dict(word.split("=") for word in event.detail.split())
+    assert words["reason"] == openings.REFUSED_TOO_LATE
+    assert words["queued"] == str(queued), event
+    assert words["waited_ms"] == str(wait), event
