Keep queued openings while the queue is full

Cause: each offer of a queued opening that no upstream took queued it anew, and with a full queue (2,000 flows) it was refused instead. Its caller then uses up its attempts within milliseconds.

Change: a queued opening stays queued until its deadline.

Result: with the change reverted, the new scenario fails: two flows fill a queue of two, and the next turn refuses them.

--- a/crocusmux/core/forward/openings.py
+++ b/crocusmux/core/forward/openings.py
@@ -338,6 +338,8 @@
 
     def can_add(self, now: float, pending: PendingOpening) -> bool:
         """Returns False if it is too late for a flow or the queue is full."""
+        if pending.key in self._pending:
+            return now < pending.deadline
         length = len(self._pending)
         if self._fair:
             length = self.queued_for(pending.service)
--- a/features/overload.feature
+++ b/features/overload.feature
@@ -154,3 +154,14 @@
     And 1 s later 3 more callers open flows to rounds
     And 0.31 s pass
     Then the refusal is logged with 3 queued flows and a wait of 1310 ms
+
+  # Guards against queued callers that are refused because the queue is full: they
+  # try again at once, and use up their attempts within milliseconds.
+  Scenario: A queued flow is not refused while the queue is full
+    Given a balancer with fair queueing and routes to rounds and wheelbook
+    And the queue of a service takes 2 flows
+    When all agents decline an urgent flow to rounds for now
+    And all agents decline a bulk flow to rounds for now
+    And no agent takes new flows
+    And 0.05 s pass
+    Then all these flows are queued
--- a/features/steps/overload_steps.py
+++ b/features/steps/overload_steps.py
@@ -1,5 +1,6 @@
 import copy
 import random
+from unittest import mock
 
 from behave import given
 from behave import then
@@ -542,3 +543,10 @@
     assert words["reason"] == openings.REFUSED_TOO_LATE
     assert words["queued"] == str(queued), event
     assert words["waited_ms"] == str(wait), event
+
+
+@given("the queue of a service takes {count:d} flows")
+def small_queue(context, count):
+    patcher = mock.patch.object(openings, "MAX_PENDING", count)
+    patcher.start()
+    context.add_cleanup(patcher.stop)
