Move the placement of new flows to a module of its own

Change: offers, hedges, the queue of new flows and refusals are in core/forward/placement.py; the interface of ForwardingBalancer and the behavior are the same.

--- a/features/steps/explain_flow_steps.py
+++ b/features/steps/explain_flow_steps.py
@@ -445,7 +445,7 @@
 
 @then("{count:d} real choices have the explained probabilities")
 def same_probabilities(context, count):
-    choose = context.core._chooser.choose
+    choose = context.core._placement._chooser.choose
     chosen = collections.Counter(
         choose(context.now, context.key, "rounds", set()).record.host
         for _ in range(count)
--- a/features/steps/overload_steps.py
+++ b/features/steps/overload_steps.py
@@ -84,7 +84,7 @@
 
 @then("all these flows are queued")
 def all_queued(context):
-    assert all(key in context.core._openings for key in context.flows)
+    assert all(key in context.core._placement.openings for key in context.flows)
 
 
 @when("agent {host} takes new flows again")
@@ -116,7 +116,7 @@
             offered[0], context.queued, reports.DECLINED_OVERLOAD
         )
         context.outs = context.core.on_message(context.now, message)
-    assert context.queued in context.core._openings
+    assert context.queued in context.core._placement.openings
 
 
 @when("all agents decline an urgent flow of a caller that goes last for now")
@@ -179,8 +179,8 @@
         context.flows, key=lambda key: address[key[6:]], reverse=True
     )
     assert offered_keys(context.outs) == [urgent], context.outs
-    assert bulk in context.core._openings
-    assert urgent not in context.core._openings
+    assert bulk in context.core._placement.openings
+    assert urgent not in context.core._placement.openings
 
 
 @then("no flow is logged as waiting")
@@ -504,7 +504,7 @@
 
 @when("{count:d} flows were offered from the queue")
 def flows_were_offered(context, count):
-    queue = context.core._openings._services["rounds"]
+    queue = context.core._placement.openings._services["rounds"]
     queue._offered = count
 
 
