--- a/crocusmux/core/forward/balancer.py
+++ b/crocusmux/core/forward/balancer.py
@@ -63,7 +63,8 @@
                 0 disables hedging.
             detect_outliers: True if agents report longer service times of
                 failing upstreams; new upstreams then count as average.
-            fair_queueing: True to queue new flows for each service.
+            fair_queueing: True to queue new flows behind others of their
+                service, by urgency and caller; False to offer them at once.
         """
         self.routes = routes.RouteTable()
         self.agent_table = agent_table.AgentTable(failure_domain)
--- a/crocusmux/core/forward/openings.py
+++ b/crocusmux/core/forward/openings.py
@@ -31,8 +31,8 @@
 # removed flows are dropped.
 MAX_STALE_ENTRIES = 64
 # Time for which callers keep their group, by the wall clock: longer than a time
-# budget, so that all attempts of a request have the same one, and short enough
-# that no caller stays last.
+# budget, so that most requests keep it for all attempts, and short enough that no
+# caller stays last.
 ORDER_PERIOD_S = 16.0
 # Groups of callers, one of which goes before the other.  An order of single callers
 # makes more of them just miss their goal, as the last ones wait for all others.
@@ -136,13 +136,19 @@
     """An order of the queued flows of one service.
 
     Flows that can still meet their response-time goal go first, as a FIFO queue
-    would make every answer late in an overload.  Among them, order is by
-    urgency, then by turn of their caller, so that a heavy caller does not delay
-    the others, then by group of their caller: in an overload, those of some
-    callers then meet their goal, and a retry, of which the request is already
-    late, takes no slot of a caller that goes first.  Then by deadline.  The others are ordered by
-    urgency, then by deadline.  Each of the two groups is a heap.  A flow that misses its goal changes heaps when it reaches the top, and
-    the entry of a removed flow is dropped there, or once there are too many.
+    would make every answer late in an overload.  Among them, order is by:
+
+    - urgency, unless the order is without it;
+    - turn of the caller, so that a heavy caller does not delay the others;
+    - group of the caller, so that those of some callers meet their goal, and
+      a retry, of which the request is late, takes no slot of such a caller;
+    - deadline.
+
+    The others are ordered by urgency, then by deadline.
+
+    Each of the two parts is a heap.  A flow that misses its goal changes heaps
+    when it reaches the top, and the entry of a removed flow is dropped there,
+    or once there are too many.
     """
 
     __slots__ = ("_late", "_numbers", "_queued", "_timely", "rank")
--- a/crocusmux/forwarding.py
+++ b/crocusmux/forwarding.py
@@ -43,7 +43,8 @@
             openings, 0 to 1; 0 disables hedging.
         detect_outliers: True to avoid upstreams that fail part of their
             requests.
-        fair_queueing: True to queue new flows for each service.
+        fair_queueing: True to queue new flows of a balancer behind others of
+            their service, by urgency and caller.
     """
 
     role: Literal["balancer", "agent"]
