--- a/crocusmux/core/forward/balancer.py
+++ b/crocusmux/core/forward/balancer.py
@@ -5,14 +5,12 @@
 
 from crocusmux.core.forward import agent_changes
 from crocusmux.core.forward import agent_table
-from crocusmux.core.forward import chooser
 from crocusmux.core.forward import evacuations
 from crocusmux.core.forward import explanation
 from crocusmux.core.forward import flow_table
-from crocusmux.core.forward import hedging
 from crocusmux.core.forward import holder_resolver
-from crocusmux.core.forward import openings
 from crocusmux.core.forward import outputs
+from crocusmux.core.forward import placement
 from crocusmux.core.forward import reports
 from crocusmux.core.forward import routes
 from crocusmux.core.forward import segments
@@ -26,17 +24,6 @@
 EXPIRY_INTERVAL_S = 1.0
 # Time for which a flow is kept beyond its idle time.
 IDLE_SLACK_S = 5.0
-# A SYN retransmitted after this time is offered to another upstream.
-OPENING_TIMEOUT_S = 0.15
-# Upstreams to which a new flow is offered in one turn.
-MAX_OFFERS = 3
-# Decline reasons that may pass before the caller gives up.
-TRANSIENT_REASONS = (
-    reports.DECLINED_OVERLOAD,
-    reports.DECLINED_BY_UPSTREAM,
-    reports.DECLINED_UNKNOWN_STATE,
-    reports.DECLINED_WARMING,
-)
 
 Outputs = list[outputs.Output]
 
@@ -63,6 +50,7 @@
         *,
         hedge_share: float = 0.0,
         detect_outliers: bool = False,
+        fair_queueing: bool = False,
     ) -> None:
         """Creates a balancer without routes and agents.
 
@@ -76,6 +64,8 @@
                 0 disables hedging.
             detect_outliers: True if agents report longer service times of
                 failing upstreams; new upstreams then count as average.
+            fair_queueing: True to queue new flows behind others of their
+                service, by urgency and caller; False to offer them at once.
         """
         self.routes = routes.RouteTable()
         self.agent_table = agent_table.AgentTable(failure_domain)
@@ -83,14 +73,16 @@
         self.evacuated = evacuations.EvacuatedDomains()
         self.newest_config = (0, "")
         self._rng = rng
-        self._openings = openings.OpeningQueue()
-        self._hedging = hedging.Hedging(hedge_share)
-        self._chooser = chooser.UpstreamChooser(
+        self._placement = placement.Placement(
+            self.routes,
             self.agent_table,
+            self.flows,
+            self.evacuated,
             failure_domain,
             rng,
-            self.evacuated.names,
+            hedge_share=hedge_share,
             assume_mean=detect_outliers,
+            fair_queueing=fair_queueing,
         )
         self._resolver = holder_resolver.HolderResolver(
             self.routes, self.agent_table, self.flows, self.evacuated
@@ -166,18 +158,7 @@
             for domain in ended
         ]
         if begun:
-            sent += self._refuse_evacuated(now)
-        return sent
-
-    def _refuse_evacuated(self, now: float) -> Outputs:
-        """Refuses the queued flows whose service is evacuated as a whole."""
-        sent: Outputs = []
-        for pending in self._openings.all():
-            if pending.flow.offered_hosts:
-                continue
-            reason = self._chooser.refusal_reason(now, pending.flow.service)
-            if reason == chooser.REFUSED_EVACUATED:
-                sent += self._refuse_flow(pending.key, pending.flow, reason)
+            sent += self._placement.refuse_evacuated(now)
         return sent
 
     def ready(self) -> bool:
@@ -191,16 +172,19 @@
 
     def explain(self, now: float, key: bytes) -> explanation.Explanation:
         """Explains where a new flow would be placed; changes nothing."""
-        return explanation.explain(
-            now,
-            key,
-            self.routes,
-            self.agent_table,
-            self._chooser,
-            self._openings,
-            self.flows.get(key),
-            self.evacuated,
-        )
+        return self._placement.explain(now, key)
+
+    def next_hedge_at(self) -> float:
+        """Returns when ``send_due_hedges`` has work, seconds.
+
+        Infinity if no offer waits for its caller's next packet, or if hedging
+        is disabled.
+        """
+        return self._placement.next_hedge_at()
+
+    def send_due_hedges(self, now: float) -> Outputs:
+        """Offers openings that are unanswered for too long once more."""
+        return self._placement.send_due_hedges(now)
 
     def on_segment(self, now: float, seg: segments.Segment) -> Outputs:
         """Forwards, queues or refuses a caller's segment."""
@@ -208,18 +192,18 @@
         if flow is not None:
             flow.last_segment_at = now
         if seg.opening and (flow is None or not flow.open):
-            return self._on_opening(now, seg, flow)
+            return self._placement.on_opening(now, seg, flow)
         if flow is None:
             return self._on_unknown_flow(now, seg)
         if seg.opening:
             if self._reuses_key(seg, flow):
                 self.flows.remove(seg.key)
-                return self._on_new_flow(now, seg)
+                return self._placement.on_new_flow(now, seg)
             flow.opening_seq = seg.seq
         sent: Outputs = []
         if not flow.open:
-            self._openings.remove(seg.key)
-            sent = self._record_acknowledged(now, seg, flow)
+            self._placement.openings.remove(seg.key)
+            sent = self._placement.record_acknowledged(now, seg, flow)
         if not seg.opening:
             flow.record_segment(seg)
         if flow.holder:
@@ -228,40 +212,6 @@
             return sent + self._deliver_to_offered(now, seg, flow)
         return sent + self._resolver.resolve(now, seg, flow)
 
-    def _record_acknowledged(
-        self, now: float, seg: segments.Segment, flow: flow_table.Flow
-    ) -> Outputs:
-        """Records a caller's first packet after its opening."""
-        self._hedging.cancel(seg.key)
-        # A reset gives the opening up and acknowledges no upstream.
-        if not flow.offered_hosts or seg.reset:
-            return []
-        elapsed_s = now - flow.first_offered_at
-        self._hedging.record_acknowledged(elapsed_s)
-        return [outputs.Timing(outputs.ACKNOWLEDGED, elapsed_s)]
-
-    def _on_opening(
-        self, now: float, seg: segments.Segment, flow: flow_table.Flow | None
-    ) -> Outputs:
-        if flow is None:
-            return self._on_new_flow(now, seg)
-        if flow.opening_segment is None:
-            flow.opening_segment = seg
-        if not flow.offered_hosts or now - flow.offered_at >= OPENING_TIMEOUT_S:
-            return self._reoffer(now, seg, flow)
-        if self._is_evacuated(flow.offered_hosts[-1]):
-            return self._place(now, seg, flow)
-        upstream = self.agent_table.get(flow.offered_hosts[-1])
-        return [holder_resolver.to_agent(seg, upstream)] if upstream else []
-
-    def _is_evacuated(self, host: str) -> bool:
-        """Returns True if a host's upstream gets no openings."""
-        upstream = self.agent_table.get(host)
-        return (
-            upstream is not None
-            and upstream.record.failure_domain in self.evacuated
-        )
-
     def _reuses_key(self, seg: segments.Segment, flow: flow_table.Flow) -> bool:
         """Returns True for a new flow with the key of an open one.
 
@@ -271,173 +221,8 @@
         return (
             flow.opening_seq not in (None, seg.seq)
             and flow.lookup is None
-            and self._is_evacuated(flow.holder)
-        )
-
-    def _on_new_flow(self, now: float, seg: segments.Segment) -> Outputs:
-        if self.routes.version == 0 or not self.evacuated.known(now):
-            return []
-        route = self.routes.find_route(seg.key)
-        if route is None:
-            return self._refuse(seg.key, routes.REFUSED_NO_ROUTE)
-        self._hedging.bucket.add_opening()
-        flow = self.flows.add(now, seg.key)
-        flow.service = route.pick_service(self._rng.random())
-        flow.opening_segment = seg
-        flow.opening_seq = seg.seq
-        return self._place(now, seg, flow)
-
-    def _reoffer(
-        self, now: float, seg: segments.Segment, flow: flow_table.Flow
-    ) -> Outputs:
-        """Offers a retransmitted opening to another upstream."""
-        # A hedge was offered later than the opening, so its time is not over.
-        offered = [x for x in flow.offered_hosts if x != flow.hedge_host]
-        for host in offered[-1:]:
-            upstream = self.agent_table.get(host)
-            if upstream is not None:
-                upstream.avoided = True
-        return self._place(now, seg, flow)
-
-    def _place(
-        self, now: float, seg: segments.Segment, flow: flow_table.Flow
-    ) -> Outputs:
-        """Offers a new flow to the best upstream that has not been tried."""
-        if not flow.offered_hosts and not self._follow_route(seg.key, flow):
-            return self._refuse_flow(seg.key, flow, routes.REFUSED_NO_ROUTE)
-        tried = {*flow.offered_hosts, *flow.busy_hosts, *flow.declined_hosts}
-        chosen = None
-        if len(flow.offered_hosts) + len(flow.busy_hosts) < MAX_OFFERS:
-            chosen = self._chooser.choose(now, seg.key, flow.service, tried)
-        if chosen is None:
-            return self._on_no_upstream(now, seg, flow)
-        self._openings.remove(seg.key)
-        if not flow.offered_hosts:
-            flow.first_offered_at = now
-        flow.offered_hosts.append(chosen.record.host)
-        flow.offered_at = now
-        chosen.unreported_offers += 1
-        self._register_offer(now, seg.key, flow)
-        return [
-            holder_resolver.to_agent(seg, chosen),
-            self._place_event(now, seg.key, chosen, flow),
-            outputs.Timing(outputs.PLACED, now - flow.opened_at),
-        ]
-
-    def _follow_route(self, key: bytes, flow: flow_table.Flow) -> bool:
-        """Moves a flow that no upstream has to a service of the route in force.
-
-        Returns False if the flow has no route any more.
-        """
-        route = self.routes.find_route(key)
-        if route is not None and flow.service not in route.services():
-            self._openings.remove(key)
-            flow.service = route.pick_service(self._rng.random())
-            flow.busy_hosts.clear()
-            flow.declined_hosts.clear()
-        return route is not None
-
-    def _register_offer(
-        self, now: float, key: bytes, flow: flow_table.Flow
-    ) -> None:
-        """Registers an offer that may be hedged, or cancels an earlier one."""
-        if not self._hedging.enabled:
-            return
-        if self._may_hedge(key, flow):
-            self._hedging.add(now, key)
-        else:
-            self._hedging.cancel(key)
-
-    def _may_hedge(self, key: bytes, flow: flow_table.Flow) -> bool:
-        """Returns True if one upstream has the opening and one more may."""
-        route = self.routes.find_route(key)
-        return (
-            route is not None
-            and route.repeatable
-            and not flow.hedge_host
-            and len(flow.offered_hosts) == 1
-            and 1 + len(flow.busy_hosts) < MAX_OFFERS
-        )
-
-    def next_hedge_at(self) -> float:
-        """Returns when ``send_due_hedges`` has work, seconds.
-
-        Infinity if no offer waits for its caller's next packet, or if hedging
-        is disabled.
-        """
-        return self._hedging.next_due_at()
-
-    def send_due_hedges(self, now: float) -> Outputs:
-        """Offers openings that are unanswered for too long once more."""
-        sent: Outputs = []
-        for key, offered_at in self._hedging.pop_due(now):
-            flow = self.flows.get(key)
-            if flow is not None:
-                sent += self._hedge(now, key, flow, offered_at)
-        return sent
-
-    def _hedge(
-        self, now: float, key: bytes, flow: flow_table.Flow, offered_at: float
-    ) -> Outputs:
-        """Offers an opening to a second upstream that has a free slot."""
-        seg = flow.opening_segment
-        if seg is None or flow.open or not self._may_hedge(key, flow):
-            return []
-        # Queued openings need the free slots more than a flow that has one.
-        if len(self._openings):
-            return []
-        tried = {*flow.offered_hosts, *flow.busy_hosts, *flow.declined_hosts}
-        chosen = self._chooser.choose(
-            now, key, flow.service, tried, with_free_slot=True
+            and self._placement.is_evacuated(flow.holder)
         )
-        if chosen is None:
-            return []
-        after_ms = f"after_ms={(now - offered_at) * 1000:.0f}"
-        if not self._hedging.bucket.take():
-            return [outputs.Event("hedge-limited", key, after_ms)]
-        host = chosen.record.host
-        flow.hedge_host = host
-        flow.offered_hosts.append(host)
-        chosen.unreported_offers += 1
-        return [
-            holder_resolver.to_agent(seg, chosen),
-            outputs.Event("hedge", key, f"agent={host} {after_ms}"),
-        ]
-
-    def _on_no_upstream(
-        self, now: float, seg: segments.Segment, flow: flow_table.Flow
-    ) -> Outputs:
-        hosts = [x for x in flow.offered_hosts if not self._is_evacuated(x)]
-        if hosts:
-            # The last upstream may still answer the caller's next SYN.
-            self._openings.remove(seg.key)
-            upstream = self.agent_table.get(hosts[-1])
-            return [holder_resolver.to_agent(seg, upstream)] if upstream else []
-        route = self.routes.find_route(seg.key)
-        agents = self.agent_table.for_services((flow.service,))
-        reason = chooser.REFUSED_NO_UPSTREAM
-        if route is not None:
-            reason = self._chooser.refusal_reason(now, flow.service)
-            queued = seg.key in self._openings
-            pending = openings.PendingOpening(seg.key, flow, route)
-            if not reason and self._openings.add(now, pending):
-                event = self._wait_event(seg.key, flow, agents)
-                return [] if queued else [event]
-        if flow.offered_hosts:
-            # An evacuated upstream may have accepted the flow, so a refusal
-            # could follow a request that runs.
-            self._openings.remove(seg.key)
-            return []
-        reason = reason or openings.REFUSED_TOO_LATE
-        return self._refuse_flow(seg.key, flow, reason)
-
-    def _refuse_flow(
-        self, key: bytes, flow: flow_table.Flow, reason: str
-    ) -> Outputs:
-        self._openings.remove(key)
-        self._hedging.cancel(key)
-        self.flows.remove(key)
-        return self._refuse(key, reason, flow)
 
     def _on_unknown_flow(self, now: float, seg: segments.Segment) -> Outputs:
         # A flow without a route is not reset: a balancer with a newer
@@ -469,7 +254,7 @@
                 message = self._expand(message)
             return sent + self._on_report(now, message)
         if isinstance(message, reports.OpeningDeclined):
-            return self._on_declined(now, message)
+            return self._placement.on_declined(now, message)
         if isinstance(message, reports.FlowClaimed):
             return self._resolver.on_claimed(now, message)
         if isinstance(message, reports.FlowDenied):
@@ -500,56 +285,19 @@
         detail = f"agent={report.host} accepting={report.accepting}"
         sent: Outputs = [outputs.Event("agent-state", b"", detail, True)]
         if report.accepting:
-            sent += self._place_pending(now)
+            sent += self._placement.place_pending(now)
         return sent
 
-    def _place_pending(self, now: float) -> Outputs:
-        sent: Outputs = []
-        for pending in self._openings.next_offers(now):
-            flow = pending.flow
-            flow.busy_hosts.clear()
-            if flow.opening_segment is not None:
-                sent += self._place(now, flow.opening_segment, flow)
-        return sent
+    def on_timer(self, now: float, wall_time: float | None = None) -> Outputs:
+        """Runs timeouts, queries and offers, every ``TIMER_INTERVAL_S``.
 
-    def _on_declined(
-        self, now: float, message: reports.OpeningDeclined
-    ) -> Outputs:
-        flow = self.flows.get(message.key)
-        detail = f"agent={message.host} reason={message.reason}"
-        if flow is None or flow.open or message.host not in flow.offered_hosts:
-            return []
-        flow.offered_hosts.remove(message.host)
-        self._record_decline(now, message)
-        if message.reason in TRANSIENT_REASONS:
-            flow.busy_hosts.add(message.host)
-        else:
-            flow.declined_hosts.add(message.host)
-        sent: Outputs = [outputs.Event("declined", message.key, detail)]
-        if flow.hedge_host and flow.offered_hosts:
-            # The other upstream still has the opening.  One more offer would
-            # be a hedge beyond the limit.
-            return sent
-        self._hedging.cancel(message.key)
-        if flow.opening_segment is None:
-            return sent
-        return sent + self._place(now, flow.opening_segment, flow)
-
-    def _record_decline(
-        self, now: float, message: reports.OpeningDeclined
-    ) -> None:
-        upstream = self.agent_table.get(message.host)
-        if upstream is None:
-            return
-        if message.reason == reports.DECLINED_OVERLOAD:
-            upstream.back_off(now, upstreams.OVERLOAD_BACKOFF_S)
-        elif message.reason == reports.DECLINED_WARMING:
-            upstream.back_off(now, upstreams.WARMUP_BACKOFF_S)
-        elif message.reason in reports.DECLINED_BY_STATE:
-            upstream.avoided = True
-
-    def on_timer(self, now: float) -> Outputs:
-        """Runs timeouts, queries and offers, every ``TIMER_INTERVAL_S``."""
+        Args:
+            now: Time in seconds.
+            wall_time: Time by the wall clock, seconds; None if it is not known.
+                Only the order of queued flows depends on it.
+        """
+        if wall_time is not None:
+            self._placement.openings.wall_offset_s = wall_time - now
         sent: Outputs = [*self._subscriptions.pop_due(now)]
         if now >= self._next_expiry_at:
             self._next_expiry_at = now + EXPIRY_INTERVAL_S
@@ -557,57 +305,5 @@
             self.flows.expire(now - idle_s)
             sent += self._agent_changes.remove_lost(now)
         sent += self._resolver.on_timer(now)
-        for pending in self._openings.pop_expired(now):
-            # An evacuated upstream may have accepted a flow offered to it.
-            if not pending.flow.offered_hosts:
-                sent += self._refuse_flow(
-                    pending.key, pending.flow, openings.REFUSED_TOO_LATE
-                )
-        sent += self._place_pending(now)
-        sent += self.send_due_hedges(now)
+        sent += self._placement.on_timer(now)
         return sent
-
-    def _place_event(
-        self,
-        now: float,
-        key: bytes,
-        chosen: upstreams.Upstream,
-        flow: flow_table.Flow,
-    ) -> outputs.Event:
-        report = chosen.report
-        load = report.in_progress if report else 0.0
-        detail = (
-            f"agent={chosen.record.host} service={flow.service}"
-            f" load={load:.1f} unreported={chosen.unreported_offers - 1}"
-            f" report_age={chosen.report_age_s(now):.2f}"
-            f" config={self.routes.version} tried={len(flow.offered_hosts)}"
-        )
-        return outputs.Event("place", key, detail)
-
-    def _wait_event(
-        self,
-        key: bytes,
-        flow: flow_table.Flow,
-        agents: agent_table.ServiceAgents,
-    ) -> outputs.Event:
-        detail = (
-            f"service={flow.service} agents={len(agents)}"
-            f" busy={len(flow.busy_hosts)} declined={len(flow.declined_hosts)}"
-            f" waiting={len(self._openings)} config={self.routes.version}"
-        )
-        return outputs.Event("wait", key, detail)
-
-    def _refuse(
-        self, key: bytes, reason: str, flow: flow_table.Flow | None = None
-    ) -> Outputs:
-        detail = f"reason={reason} config={self.routes.version}"
-        if flow is not None:
-            detail += f" service={flow.service}"
-            detail += (
-                f" busy={len(flow.busy_hosts)}"
-                f" declined={len(flow.declined_hosts)}"
-            )
-        return [
-            outputs.Event("refuse", key, detail, True),
-            outputs.Reset(key, 0),
-        ]
--- a/crocusmux/daemons/forward_balancer.py
+++ b/crocusmux/daemons/forward_balancer.py
@@ -6,6 +6,7 @@
 import logging
 import math
 import random
+import time
 
 import msgspec
 from tornado import httputil
@@ -86,6 +87,7 @@
             rng,
             hedge_share=cfg.hedge_share,
             detect_outliers=cfg.detect_outliers,
+            fair_queueing=cfg.fair_queueing,
         )
         self._own_source = source
         self._stopping = False
@@ -441,7 +443,7 @@
     async def _tick(self) -> None:
         while True:
             now = self._loop.time()
-            self._execute(self.core.on_timer(now))
+            self._execute(self.core.on_timer(now, time.time()))
             self._schedule_hedges()
             self._check_staleness(now)
             event = self._pacer.pop_event(now)
--- a/crocusmux/forwarding.py
+++ b/crocusmux/forwarding.py
@@ -44,6 +44,8 @@
             openings, 0 to 1; 0 disables hedging.
         detect_outliers: True to avoid upstreams that fail part of their
             requests.
+        fair_queueing: True to queue new flows of a balancer behind others of
+            their service, by urgency and caller.
     """
 
     role: Literal["balancer", "agent"]
@@ -67,6 +69,7 @@
     hedge_share: float = 0.0
     link_mbps: float = 0.0
     detect_outliers: bool = False
+    fair_queueing: bool = False
 
 
 class StoredObject(msgspec.Struct, frozen=True):
--- a/crocusmux/platform/host_settings.py
+++ b/crocusmux/platform/host_settings.py
@@ -171,4 +171,5 @@
         upstream=upstream,
         outbound=outbound,
         detect_outliers=HEALTH_CONTRACT in fields.contracts,
+        fair_queueing=HEALTH_CONTRACT in fields.contracts,
     )
--- a/features/steps/decoders_steps.py
+++ b/features/steps/decoders_steps.py
@@ -18,7 +18,7 @@
 from crocusmux.core.forward import reports
 from crocusmux.core.forward import routes
 from crocusmux.core.forward import upstreams
-from crocusmux.daemons import forward_balancer
+from crocusmux.daemons import explain_request
 from crocusmux.platform import configuration
 from crocusmux.platform import host_settings
 from crocusmux.platform import packets
@@ -463,5 +463,5 @@
 
     @bad_input_steps.generate(count, arguments)
     def check(arguments):
-        status, body = forward_balancer.explain(core, NOW, arguments)
+        status, body = explain_request.explain(core, NOW, arguments)
         assert status in (200, 400, 404) and isinstance(body, bytes)
