Refuse revisions of the store that no message can carry

Cause: Subscribe tells an agent the revision at which its record was missing. A revision of more than 64 bits, which the store's client accepted, would raise OverflowError when the balancer encodes it.

Change: the client takes revisions of 0 to 2^63 - 1, and the property test of the store's responses checks the range.

--- a/crocusmux/platform/store.py
+++ b/crocusmux/platform/store.py
@@ -1,6 +1,6 @@
 """Client of the platform's object store."""
 
-from typing import Any
+from typing import Annotated, Any
 import urllib.parse
 
 import msgspec
@@ -18,9 +18,13 @@
 CREATED = 201
 
 
+# Messages between daemons carry a revision in 64 bits.
+_Revision = Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
+
+
 class _Metadata(msgspec.Struct):
     name: str
-    rev: int = 0
+    rev: _Revision = 0
     deleting: bool = False
 
 
@@ -31,7 +35,7 @@
 
 class _ListPage(msgspec.Struct):
     items: list[msgspec.Raw]
-    current_rev: int
+    current_rev: _Revision
     more: bool = False
 
 
@@ -42,7 +46,7 @@
 
 class _WatchReply(msgspec.Struct):
     events: list[_Event]
-    current_rev: int
+    current_rev: _Revision
 
 
 class Store:
--- a/features/steps/decoders_steps.py
+++ b/features/steps/decoders_steps.py
@@ -230,10 +230,14 @@
         raise errors.PlatformUnavailableError("malformed", step="read")
 
     def use(result):
+        # Subscriptions tell agents a revision, in 64 bits.
         if isinstance(result, int):
+            assert 0 <= result < 1 << 63
             return
+        assert 0 <= result.revision < 1 << 63
         for item in result.items:
             assert isinstance(item.name, str)
+            assert 0 <= item.revision < 1 << 63
             json.loads(item.spec)
             urllib.parse.quote(item.name)
 
