Count the age of an opening from the caller's first SYN

Cause: a balancer that gets only a retransmission of a SYN, as after its start or a re-hash, took the flow as new. It served it as if it could still meet its goal, and refused it 1.3 s later, when the caller had given up up to 0.5 s before.

Change: the number of the retransmission, which the SYN carries, tells the age of the opening.

--- a/crocusmux/core/forward/flow_table.py
+++ b/crocusmux/core/forward/flow_table.py
@@ -24,7 +24,8 @@
         last_segment: The newest segment while the holder is only assumed.
         lookup: Lookup of the holder; None without one.
         ack: The caller's last acknowledgement.
-        opened_at: Time of the first segment at this balancer, seconds.
+        opened_at: Time of the caller's first SYN, or of the first segment here if
+            the flow was open before, seconds.
         offered_at: Time of the last offer other than a hedge, seconds.
         first_offered_at: Time of the first of the offers since all earlier
             ones were declined, seconds.
--- a/crocusmux/core/forward/openings.py
+++ b/crocusmux/core/forward/openings.py
@@ -14,8 +14,9 @@
 from crocusmux.core.forward import flow_table
 from crocusmux.core.forward import routes
 
-# A caller retransmits its SYN after 0.2 s and 0.6 s and gives up after 1.4 s
-# (source: the platform's protocol).
+# Age of an opening by the number of its retransmission, and a time shortly before
+# the caller gives up at 1.4 s (source: the platform's protocol).
+RETRANSMISSION_AGES_S = (0.0, 0.2, 0.6)
 CALLER_PATIENCE_S = 1.3
 # Longest wait as a share of the caller's timeout; the request takes the rest.
 QUEUE_BUDGET_SHARE = 0.6
@@ -91,6 +92,19 @@
 _Entry = tuple[_Rank, int, PendingOpening]
 
 
+def opening_age_s(retransmission: int) -> float:
+    """Returns the age of an opening at its arrival, seconds.
+
+    A balancer that has just started, or to which a flow has moved, may get only
+    a retransmission.
+
+    Args:
+        retransmission: Number of the retransmission; 0 for the first SYN.
+    """
+    last = len(RETRANSMISSION_AGES_S) - 1
+    return RETRANSMISSION_AGES_S[min(retransmission, last)]
+
+
 def caller_group(key: bytes, wall_time: float) -> int:
     """Returns the group of a caller, 0 for that which goes first.
 
--- a/crocusmux/core/forward/placement.py
+++ b/crocusmux/core/forward/placement.py
@@ -168,6 +168,7 @@
         flow.service = route.pick_service(self._rng.random())
         flow.opening_segment = seg
         flow.opening_seq = seg.seq
+        flow.opened_at -= openings.opening_age_s(seg.ack)
         return self._place_in_turn(now, seg, flow)
 
     def _place_in_turn(
--- a/features/overload.feature
+++ b/features/overload.feature
@@ -165,3 +165,18 @@
     And no agent takes new flows
     And 0.05 s pass
     Then all these flows are queued
+
+  # Guards against a refusal that the caller no longer hears: a balancer that got
+  # the second retransmission of an opening first, as after a re-hash, waited 1.3 s
+  # from there, and the caller gave up after 0.8 s.
+  Scenario Outline: A retransmission that arrives first is refused in time
+    Given a balancer with fair queueing and routes to rounds and wheelbook
+    When no agent takes new flows
+    And retransmission <number> of an opening is the first packet of its flow
+    Then the flow is refused between <earliest> and <latest> s later
+
+    Examples:
+      | number | earliest | latest |
+      | 0      | 1.25     | 1.38   |
+      | 1      | 1.05     | 1.18   |
+      | 2      | 0.65     | 0.78   |
--- a/features/steps/overload_steps.py
+++ b/features/steps/overload_steps.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from bench import overload
+from crocusmux.core.forward import balancer
 from crocusmux.core.forward import flow_table
 from crocusmux.core.forward import openings
 from crocusmux.core.forward import outputs
@@ -550,3 +551,22 @@
     patcher = mock.patch.object(openings, "MAX_PENDING", count)
     patcher.start()
     context.add_cleanup(patcher.stop)
+
+
+@when("retransmission {number:d} of an opening is the first packet of its flow")
+def first_is_retransmission(context, number):
+    key = routes.encode_flow_key(("100.64.0.7", 21_000), ROUNDS)
+    seg = balancer_sample.segment(key, opening=True, ack=number)
+    context.key = key
+    context.outs = context.core.on_segment(context.now, seg)
+
+
+@then("the flow is refused between {earliest:g} and {latest:g} s later")
+def refused_between(context, earliest, latest):
+    begun_at = context.now
+    while not any(isinstance(x, outputs.Reset) for x in context.outs):
+        assert context.now < begun_at + latest, "not refused"
+        context.now += balancer.TIMER_INTERVAL_S
+        context.outs = context.core.on_timer(context.now)
+    waited_s = context.now - begun_at
+    assert earliest <= waited_s <= latest, waited_s
