Limit openings from the end of an evacuation on

An upstream is cold once its domain's evacuation ends, but its agent learnt it from the next heartbeat only, up to 1.2 s later. Until then all balancers sent it new flows without the warm-up limit.

Subscriptions now say whether the agent's failure domain is evacuated, by which revision of the store the balancer knows it, and how long ago an evacuation ended. The agent limits openings from the first news of an evacuation on, until a heartbeat that was sent after the end. Balancers that restart, lost messages and balancers without the store are covered, as any balancer's news is enough and the newest revision counts. Nothing changes for services without a warm-up rate. Malformed names among removed evacuations are now ignored, as those of new ones are.

The test of the length of subscriptions counts the new field, one byte while it is not used (4 bytes beyond an older release instead of 3).

--- a/crocusmux/core/forward/agent.py
+++ b/crocusmux/core/forward/agent.py
@@ -80,6 +80,7 @@
         self._knows_all_flows = False
         self._subscribers = subscribers.Subscribers()
         self._warmup_limit = warmup.WarmupLimit()
+        self._evacuation_news = warmup.EvacuationNews(interval_s)
         self._unanswered_since: float | None = None
         self._silent_since: float | None = None
         self._next_expiry_at = 0.0
@@ -145,10 +146,15 @@
         slots = self.lifecycle.current.slots
         if self.load.committed(now) >= slots * (1 + MAX_QUEUED_PER_SLOT):
             return reports.DECLINED_OVERLOAD
-        if self.lifecycle.cold(now) and not self._admits_cold(now):
+        if self._may_be_cold(now) and not self._admits_cold(now):
             return reports.DECLINED_WARMING
         return ""
 
+    def _may_be_cold(self, now: float) -> bool:
+        return self.lifecycle.cold(now) or self._evacuation_news.may_be_cold(
+            self.lifecycle.heartbeat_at
+        )
+
     def _admits_cold(self, now: float) -> bool:
         """Returns True if an upstream that is warming up takes a new flow."""
         if self._subscribers.newest_config[0] == 0:
@@ -328,6 +334,7 @@
 
     def on_subscribe(self, now: float, message: reports.Subscribe) -> Outputs:
         """Starts or renews a balancer's subscription to load reports."""
+        self._evacuation_news.learn(now, message.domain_state)
         subscriber, added = self._subscribers.subscribe(now, message)
         if added or message.report_now:
             return [self._report(now, subscriber)]
--- a/crocusmux/core/forward/balancer.py
+++ b/crocusmux/core/forward/balancer.py
@@ -88,7 +88,12 @@
             self.routes, self.agent_table, self.flows, self.evacuated
         )
         self._subscriptions = subscriptions.Subscriptions(
-            host, address, config_source, self.agent_table, self.routes
+            host,
+            address,
+            config_source,
+            self.agent_table,
+            self.routes,
+            self.evacuated,
         )
         self._agent_changes = agent_changes.AgentChanges(
             self.agent_table, self._subscriptions
@@ -138,8 +143,9 @@
         removed: Iterable[str] = (),
         full: bool = False,
         known: bool = True,
+        revision: int = 0,
     ) -> Outputs:
-        """Applies evacuated failure domains.
+        """Applies evacuated failure domains, and tells their agents.
 
         Args:
             now: Time in seconds.
@@ -147,8 +153,11 @@
             removed: Failure domains whose evacuation has ended.
             full: True if ``domains`` is the complete list; False for changes.
             known: False if a list is still waited for.
+            revision: As for ``EvacuatedDomains.update``.
         """
-        begun, ended = self.evacuated.update(domains, removed, full, known)
+        begun, ended = self.evacuated.update(
+            now, domains, removed, full, known, revision
+        )
         sent: Outputs = [
             outputs.Event("evacuate", b"", f"domain={domain}", True)
             for domain in begun
@@ -159,7 +168,8 @@
         ]
         if begun:
             sent += self._placement.refuse_evacuated(now)
-        return sent
+        # Before the next opening, which the agents of these domains may limit.
+        return sent + self._subscriptions.tell_evacuations(now, begun + ended)
 
     def ready(self) -> bool:
         """Returns True if new flows can be placed or refused."""
--- a/crocusmux/core/forward/reports.py
+++ b/crocusmux/core/forward/reports.py
@@ -29,6 +29,30 @@
         check_number(name, getattr(message, name))
 
 
+class DomainState(msgspec.Struct, frozen=True, array_like=True):
+    """Whether a failure domain is evacuated, as a balancer knows it.
+
+    Attributes:
+        evacuated: True if it is.
+        revision: Revision of the store by which the balancer knows this; 0 if
+            it knows it from a peer.
+        ended_s: Time since the balancer learned that an evacuation ended,
+            seconds; None if none has ended recently.
+    """
+
+    evacuated: bool
+    revision: int
+    ended_s: float | None
+
+    def __post_init__(self) -> None:
+        if not 0 <= self.revision < 1 << 63:
+            raise ValueError(
+                f"domain_state.revision is out of range: {self.revision}"
+            )
+        if self.ended_s is not None:
+            check_number("domain_state.ended_s", self.ended_s)
+
+
 class Subscribe(msgspec.Struct, frozen=True, tag="s", array_like=True):
     """A balancer subscribes to an agent's load reports.
 
@@ -49,6 +73,8 @@
         record_lost_at: Revision of the store at which the balancer saw that the
             agent's record is gone or of another incarnation; 0 if it is in
             place, and from older releases.
+        domain_state: Whether the failure domain of the agent is evacuated; None
+            if the balancer does not know, and from older releases.
     """
 
     balancer: str
@@ -62,6 +88,7 @@
     warmup_per_s: float = 0.0
     idle_s: float = 0.0
     record_lost_at: int = 0
+    domain_state: DomainState | None = None
 
     def __post_init__(self) -> None:
         addresses.check(self.address)
--- a/crocusmux/core/forward/subscriptions.py
+++ b/crocusmux/core/forward/subscriptions.py
@@ -5,6 +5,7 @@
 import math
 
 from crocusmux.core.forward import agent_table
+from crocusmux.core.forward import evacuations
 from crocusmux.core.forward import outputs
 from crocusmux.core.forward import report_schedule
 from crocusmux.core.forward import reports
@@ -27,6 +28,9 @@
 # lost, until it has written it again; shorter than the subscribe interval of a
 # large fleet.
 RECORD_LOST_INTERVAL_S = 2.0
+# Times after a change of evacuations at which the agents concerned are told again,
+# as datagrams get lost, seconds.
+EVACUATION_RESENDS_S = (0.25, 0.5)
 # Validity of a subscription in subscribe intervals, as datagrams get lost.
 SUBSCRIPTION_INTERVALS = 5
 
@@ -40,11 +44,14 @@
         "_address",
         "_agent_table",
         "_config_source",
+        "_evacuated",
+        "_evacuation_resends",
         "_host",
         "_next_record_check_at",
         "_next_resubscribe_at",
         "_next_slow_resubscribe_at",
         "_next_subscribe_at",
+        "_now",
         "_routes",
     )
 
@@ -55,6 +62,7 @@
         config_source: str,
         agents: agent_table.AgentTable,
         route_table: routes.RouteTable,
+        evacuated: evacuations.EvacuatedDomains,
     ) -> None:
         """Creates the schedule; all subscriptions are due at once.
 
@@ -64,12 +72,18 @@
             config_source: Address that serves the balancer's configuration.
             agents: All agents.
             route_table: The configuration in force.
+            evacuated: Failure domains whose upstreams get no new flows.
         """
         self._host = host
         self._address = address
         self._config_source = config_source
         self._agent_table = agents
         self._routes = route_table
+        self._evacuated = evacuated
+        # Times at which the agents of some domains are told again.
+        self._evacuation_resends: list[tuple[float, set[str]]] = []
+        # Time of the last turn, which the age of an evacuation's end is from.
+        self._now = 0.0
         self._next_subscribe_at = 0.0
         self._next_resubscribe_at = 0.0
         self._next_slow_resubscribe_at = 0.0
@@ -77,12 +91,13 @@
 
     def pop_due(self, now: float) -> Messages:
         """Returns the subscriptions that are due, and schedules the next."""
+        self._now = now
+        due = self._resend_evacuations(now)
         if now >= self._next_subscribe_at:
             self._next_subscribe_at = now + self._subscribe_interval_s()
             self._schedule_resubscription(now)
             self._next_record_check_at = now + RECORD_LOST_INTERVAL_S
             return self.make(self._agent_table.all())
-        due: Messages = []
         if now >= self._next_resubscribe_at:
             due += self._resubscribe(now)
             self._schedule_resubscription(now)
@@ -92,6 +107,30 @@
             due += self.make(x for x in agents if x.record_lost_at())
         return due
 
+    def tell_evacuations(self, now: float, domains: list[str]) -> Messages:
+        """Returns subscriptions to the agents of domains that have changed."""
+        self._now = now
+        if not domains:
+            return []
+        changed = set(domains)
+        for delay_s in EVACUATION_RESENDS_S:
+            self._evacuation_resends.append((now + delay_s, changed))
+        self._evacuation_resends.sort(key=lambda entry: entry[0])
+        return self._make_for_domains(changed)
+
+    def _resend_evacuations(self, now: float) -> Messages:
+        due: Messages = []
+        resends = self._evacuation_resends
+        while resends and resends[0][0] <= now:
+            due += self._make_for_domains(resends.pop(0)[1])
+        return due
+
+    def _make_for_domains(self, domains: set[str]) -> Messages:
+        agents = self._agent_table.all()
+        return self.make(
+            x for x in agents if x.record.failure_domain in domains
+        )
+
     def make(
         self, agents: Iterable[upstreams.Upstream], report_now: bool = False
     ) -> Messages:
@@ -114,7 +153,10 @@
         # Few different subscriptions go to many agents.
         @functools.cache
         def subscription(
-            is_local: bool, warmup_per_s: float, record_lost_at: int
+            is_local: bool,
+            warmup_per_s: float,
+            record_lost_at: int,
+            domain: str,
         ) -> reports.Subscribe:
             return reports.Subscribe(
                 self._host,
@@ -128,6 +170,7 @@
                 warmup_per_s=warmup_per_s,
                 idle_s=idle_s,
                 record_lost_at=record_lost_at,
+                domain_state=self._evacuated.state(self._now, domain),
             )
 
         return [
@@ -137,6 +180,7 @@
                     table.is_local(upstream.record),
                     self._routes.warmup_per_s(upstream.record.service),
                     upstream.record_lost_at(),
+                    upstream.record.failure_domain,
                 ),
             )
             for upstream in agents
--- a/crocusmux/core/forward/warmup.py
+++ b/crocusmux/core/forward/warmup.py
@@ -3,11 +3,16 @@
 import collections
 import math
 
+from crocusmux.core.forward import reports
+
 # Span over which admitted openings are counted (source: requirement 2 of
 # docs/design/uneven-load.md).
 WINDOW_S = 1.0
 # A service with a rate below one opening a second still warms up.
 MIN_OPENINGS = 1
+# Part of a heartbeat interval within which a heartbeat reaches the agent, which
+# runs on the same host.  A later one was sent after the end of an evacuation.
+HEARTBEAT_DELAY_INTERVALS = 0.25
 
 
 class WarmupLimit:
@@ -55,3 +60,49 @@
         admitted_at = self._admitted_at
         while admitted_at and now - admitted_at[0] >= WINDOW_S:
             admitted_at.popleft()
+
+
+class EvacuationNews:
+    """What balancers tell of the evacuations of an agent's failure domain.
+
+    An upstream is cold at the end of an evacuation, but says so only in its next
+    heartbeat.  Until then it counts as cold.
+    """
+
+    __slots__ = ("_delay_s", "_ended_at", "_evacuated", "_known_at")
+
+    def __init__(self, interval_s: float) -> None:
+        """Knows of no evacuation.
+
+        Args:
+            interval_s: Interval of the upstream's heartbeats, seconds.
+        """
+        self._delay_s = HEARTBEAT_DELAY_INTERVALS * interval_s
+        self._evacuated = False
+        self._ended_at = float("-inf")
+        # Revision of the store that the newest message reflects.
+        self._known_at = -1
+
+    def learn(self, now: float, state: reports.DomainState | None) -> None:
+        """Applies what a balancer tells if it is newer than what is known.
+
+        A balancer that has lost the store goes on to tell what it knew.
+        """
+        if state is None or state.revision <= self._known_at:
+            return
+        self._known_at = state.revision
+        if not state.evacuated:
+            if state.ended_s is not None:
+                self._ended_at = max(self._ended_at, now - state.ended_s)
+            elif self._evacuated:
+                # The balancer started after the end.
+                self._ended_at = now
+        self._evacuated = state.evacuated
+
+    def may_be_cold(self, heartbeat_at: float) -> bool:
+        """Returns True if the newest heartbeat may precede the end.
+
+        Args:
+            heartbeat_at: Time at which it arrived, seconds.
+        """
+        return self._evacuated or heartbeat_at < self._ended_at + self._delay_s
--- a/crocusmux/daemons/forward_balancer.py
+++ b/crocusmux/daemons/forward_balancer.py
@@ -284,9 +284,14 @@
 
     def _on_evacuation_changes(self, changes: forwarding.Changes) -> None:
         names = self._check_domains(item.name for item in changes.items)
+        removed = self._check_domains(changes.removed)
         self._execute(
             self.core.update_evacuations(
-                self._loop.time(), names, changes.removed, changes.full
+                self._loop.time(),
+                names,
+                removed,
+                changes.full,
+                revision=changes.revision,
             )
         )
 
--- a/features/bad_input.feature
+++ b/features/bad_input.feature
@@ -159,6 +159,9 @@
       | Subscribe     | warmup_per_s        | NaN           |
       | Subscribe     | warmup_per_s        | Infinity      |
       | Subscribe     | warmup_per_s        | -1.0          |
+      | Subscribe     | domain_state        | [true, -1, null] |
+      | Subscribe     | domain_state        | [false, 5, NaN]  |
+      | Subscribe     | domain_state        | [false, 5, -1.0] |
 
   # Guards against a check that refuses everything.
   Scenario: Control messages with possible numbers are decoded
--- a/features/forward_balancer.feature
+++ b/features/forward_balancer.feature
@@ -611,11 +611,13 @@
     Then a subscription of an older release has no rate
     And a subscription with the rate 12.5 is read by an older release
 
-  # Guards against larger control traffic of deployments without rates.
-  Scenario: The rate, the idle timeout and a record in place add one byte each to a subscription
+  # Guards against larger control traffic of deployments without rates and
+  # evacuations: the rate, the idle timeout, a record in place, and the state of
+  # the failure domain.
+  Scenario: Fields of newer releases that are not used add one byte each to a subscription
     Given a balancer with the agents a, b, c of rounds and d of wheelbook
     When 2.1 s pass
-    Then its subscriptions are 3 bytes longer than those of an older release
+    Then its subscriptions are 4 bytes longer than those of an older release
 
   # Guards against new flows to upstreams that are to be left alone: by the
   # preference for the own domain, for lack of room in it, or at random.
--- a/features/forward_path.feature
+++ b/features/forward_path.feature
@@ -209,17 +209,19 @@
     When a caller opens a flow through balancer 1
     Then the caller gets a SYN+ACK
 
-  # Guards against an evacuation that is not in force within its bound, or that
-  # is not taken back.
+  # Guards against an evacuation that is not in force within its bound, that is
+  # not taken back, or of whose end the agents hear too late.
   Scenario: An evacuation through the store is in force and taken back within 5 s
     Given a store with a route to rounds, evacuations, 2 balancers and agents of rounds in abay and enbek
     When the operator evacuates abay
     Then balancer 1 has evacuated abay within 5 s
     And balancer 2 has evacuated abay within 5 s
+    And agent 1 takes its upstream for cold, and agent 2 does not
     And 20 new flows through balancer 1 go to upstreams 2
     When the operator ends the evacuation of abay
     Then balancer 1 has evacuated nothing within 5 s
     And balancer 2 has evacuated nothing within 5 s
+    And agent 1 knows that the evacuation has ended
     And 30 new flows through balancer 2 go to upstreams 1 and 2
 
   # Guards against an evacuation that breaks open flows, or hides their holders
--- a/features/steps/decoders_steps.py
+++ b/features/steps/decoders_steps.py
@@ -331,6 +331,7 @@
             0.25,
             True,
             True,
+            domain_state=reports.DomainState(False, 20, 0.5),
         ),
         reports.FlowQuery(1, tag, ((KEY, 1), (KEY, 2))),
         reports.FlowQueryReply("a", 1, 1, 2),
--- a/features/steps/forward_balancer_steps.py
+++ b/features/steps/forward_balancer_steps.py
@@ -549,14 +549,18 @@
 def check_older(context):
     data = msgspec.msgpack.encode(OLDER)
     message = msgspec.msgpack.decode(data, type=reports.Message)
-    assert message.warmup_per_s == 0.0
+    assert message.warmup_per_s == 0.0 and message.domain_state is None
     assert (message.interval_s, message.report_now) == (0.25, True)
 
 
 @then("a subscription with the rate {rate:g} is read by an older release")
 def check_newer(context, rate):
     values = msgspec.structs.asdict(OLDER)
-    message = reports.Subscribe(**values, warmup_per_s=rate)
+    message = reports.Subscribe(
+        **values,
+        warmup_per_s=rate,
+        domain_state=reports.DomainState(False, 20, 0.5),
+    )
     data = msgspec.msgpack.encode(message)
     assert msgspec.msgpack.decode(data, type=OlderSubscribe) == OLDER
     assert msgspec.msgpack.decode(data, type=reports.Message) == message
--- a/features/steps/forward_path_steps.py
+++ b/features/steps/forward_path_steps.py
@@ -1,5 +1,6 @@
 import asyncio
 import json
+import math
 import random
 import socket
 
@@ -638,6 +639,25 @@
     wait_until(context, lambda: sorted(core.evacuated) == expected, seconds)
 
 
+def evacuation_news(context, number):
+    return context.daemons["agent", number].core._evacuation_news
+
+
+@then("agent 1 takes its upstream for cold, and agent 2 does not")
+def takes_for_cold(context):
+    wait_until(
+        context, lambda: evacuation_news(context, 1).may_be_cold(math.inf)
+    )
+    assert not evacuation_news(context, 2).may_be_cold(0.0)
+
+
+@then("agent 1 knows that the evacuation has ended")
+def knows_end(context):
+    news = evacuation_news(context, 1)
+    wait_until(context, lambda: not news.may_be_cold(math.inf))
+    assert news.may_be_cold(0.0)
+
+
 @then("{count:d} new flows through balancer {number:d} go to upstreams {hosts}")
 def flows_go_to(context, count, number, hosts):
     first = 6000 + 100 * len(context.caller)
--- a/features/steps/forward_warmup_steps.py
+++ b/features/steps/forward_warmup_steps.py
@@ -49,21 +49,30 @@
         self._agents = {}
         self._agents_by_address = {}
         self._answered = set()
+        self._loss = 0.0
+        self._loss_rng = random.Random(1)
+        self._without_store = set()
+        # Time until which the upstreams are cold after an evacuation, seconds.
+        self._cold_until = {}
         for number in range(balancer_count):
             address = (f"10.0.0.{number}", 7720)
-            self._balancers[address] = balancer.ForwardingBalancer(
-                f"edge-{number}",
-                PREFERRED_DOMAIN,
-                address,
-                "",
-                random.Random(number),
-            )
+            self._balancers[address] = self._new_balancer(address)
         for domain, hosts in self.hosts.items():
             for number in range(per_domain):
                 host = f"{domain}-{number}"
                 hosts.append(host)
                 self._add_agent(host, domain, f"10.{len(domain)}.1.{number}")
 
+    def _new_balancer(self, address):
+        number = int(address[0].rpartition(".")[2])
+        return balancer.ForwardingBalancer(
+            f"edge-{number}",
+            PREFERRED_DOMAIN,
+            address,
+            "",
+            random.Random(number),
+        )
+
     def _add_agent(self, host, domain, ip):
         record = balancer_sample.record(host, "rounds", ip, domain)
         core = agent.ForwardingAgent(host, "rounds", 7, HEARTBEAT_S)
@@ -75,12 +84,16 @@
             self._run_balancer(address, outs)
 
     def configure(self, rate):
-        cfg = msgspec.structs.replace(
-            balancer_sample.configuration(5), warmup_rates=(("rounds", rate),)
-        )
+        cfg = self._configuration(rate)
         for address, core in self._balancers.items():
             self._run_balancer(address, core.configure(cfg))
 
+    def _configuration(self, rate):
+        rates = (("rounds", rate),) if rate else ()
+        return msgspec.structs.replace(
+            balancer_sample.configuration(5), warmup_rates=rates
+        )
+
     def at(self, time, action, *args):
         entry = (time, next(self._numbers), action, args)
         heapq.heappush(self._events, entry)
@@ -98,6 +111,58 @@
             self._run_agent(host, core.on_timer(self.now))
         self.at(self.now + agent.TIMER_INTERVAL_S, self._tick)
 
+    def lose_messages(self, share):
+        """Loses a share of the messages of balancers to agents."""
+        self._loss = share
+
+    def evacuate(self, domain, delay_s):
+        """Balancers learn of an evacuation one after the other."""
+        for number, address in enumerate(self._balancers):
+            time = self.now + number * delay_s
+            self.at(time, self._update, address, [domain], [], 10)
+
+    def end_evacuation(self, domain, delay_s, cold_s):
+        """The upstreams of a domain are cold as its evacuation ends."""
+        for host in self.hosts[domain]:
+            self._cold_until[host] = self.now + cold_s
+        for number, address in enumerate(self._balancers):
+            time = self.now + number * delay_s
+            self.at(time, self._update, address, [], [domain], 20)
+
+    def _update(self, address, domains, removed, revision):
+        core = self._balancers[address]
+        if core.evacuated.revision >= revision:
+            # It has started since.
+            return
+        if address in self._without_store:
+            return
+        outs = core.update_evacuations(
+            self.now, domains, removed, revision=revision
+        )
+        self._run_balancer(address, outs)
+
+    def lose_store(self, number):
+        """A balancer learns of no changes any more."""
+        self._without_store.add(list(self._balancers)[number])
+
+    def restart_balancers(self, rate):
+        """Balancers start after the end of an evacuation, and list none."""
+        for address, old in list(self._balancers.items()):
+            core = self._new_balancer(address)
+            self._balancers[address] = core
+            core.configure(self._configuration(rate))
+            core.update_evacuations(self.now, [], full=True, revision=30)
+            for upstream in old.agent_table.all():
+                outs = core.add_agent(self.now, upstream.record)
+                self._run_balancer(address, outs)
+
+    def restart_agents(self, domain):
+        """Agents start anew; their upstreams go on."""
+        for host in self.hosts[domain]:
+            core = agent.ForwardingAgent(host, "rounds", 8, HEARTBEAT_S)
+            core.on_timer(self.now)
+            self._agents[host] = core
+
     def start_upstream(self, host, cold_s):
         self._beat(host, self.now, 1, cold_s)
 
@@ -110,7 +175,11 @@
             address=("10.0.1.1", 8165),
             slots=SLOTS,
             draining=False,
-            warmup_s=max(0.0, born_at + cold_s - self.now),
+            warmup_s=max(
+                0.0,
+                born_at + cold_s - self.now,
+                self._cold_until.get(host, 0.0) - self.now,
+            ),
         )
         outs = self._agents[host].on_heartbeat(self.now, beat)
         self._run_agent(host, outs)
@@ -146,6 +215,8 @@
                 host = self._agents_by_address[out.to]
                 self.at(later, self._on_caller_segment, host, seg, address)
             elif isinstance(out, outputs.ToPeer):
+                if self._loss_rng.random() < self._loss:
+                    continue
                 host = self._agents_by_address[out.to]
                 data = msgspec.msgpack.encode(out.message)
                 self.at(later, self._on_agent_message, host, data)
@@ -239,6 +310,41 @@
     fleet.run(context.end + 1.0)
 
 
+@when("abay is evacuated at {start:g} s")
+def evacuate_abay(context, start):
+    fleet = context.fleet
+    for host in fleet.hosts["abay"]:
+        fleet.at(0.0, fleet.start_upstream, host, 0.0)
+    fleet.at(start, fleet.evacuate, "abay", 0.01)
+
+
+@when("{share:g} of the messages to agents get lost")
+def lose_messages(context, share):
+    context.fleet.lose_messages(share)
+
+
+@when("abay is taken back into use at {end:g} s, cold for {cold:g} s")
+def take_back(context, end, cold):
+    context.fleet.at(end, context.fleet.end_evacuation, "abay", 0.01, cold)
+
+
+@when("{what} at {time:g} s")
+def restart_at(context, what, time):
+    fleet = context.fleet
+    if what == "all balancers restart":
+        fleet.at(time, fleet.restart_balancers, context.rate)
+    elif what == "the agents of abay restart":
+        fleet.at(time, fleet.restart_agents, "abay")
+    elif what == "all messages to agents get lost for 0.25 s":
+        fleet.at(time, fleet.lose_messages, 1.0)
+        fleet.at(time + 0.25, fleet.lose_messages, 0.0)
+    elif what == "one balancer of 4 loses the store":
+        fleet.at(time, fleet.lose_store, 3)
+    else:
+        assert what == "nothing else happens", what
+    fleet.run(context.end + 1.0)
+
+
 def between(times, start, end):
     return [time for time in times if start <= time < end]
 
--- a/spec/check.py
+++ b/spec/check.py
@@ -118,6 +118,13 @@
     "restart": "assumes_full.",
     "rate": "needs_rate.",
 }
+# The same with an evacuation.
+EVACUATED_WARMUP = {
+    **WARMUP,
+    "end": "may_end(2..4).",
+    "news": "tells_evacuations.",
+    "lift": "",
+}
 # Two offers at a time among three agents; one upstream may die.
 HEDGING = {
     "daemons": "agent(x; y; z). max_offers(2). death_budget(1).",
@@ -166,12 +173,14 @@
     )
 
 
-def _warmup(name: str, broken: dict[str, str]) -> Check:
+def _warmup(
+    name: str, broken: dict[str, str], rules: dict[str, str] = WARMUP
+) -> Check:
     return Check(
         f"too many openings at a cold upstream: {name}",
         "warmup",
         "too_many_openings",
-        WARMUP,
+        rules,
         broken,
     )
 
@@ -333,6 +342,16 @@
     ),
     _warmup("a restarted agent takes its upstream as new", {"restart": ""}),
     _warmup("an agent without a subscription has no limit", {"rate": ""}),
+    _warmup(
+        "an agent learns of the end of an evacuation by heartbeats only",
+        {"news": ""},
+        EVACUATED_WARMUP,
+    ),
+    _warmup(
+        "a heartbeat of before the end lifts the limit",
+        {"lift": "takes_any_heartbeat."},
+        EVACUATED_WARMUP,
+    ),
     Check(
         "request at another upstream: it goes to both without a probe",
         "hedging",
