Treat an opening from the port of a former flow as a new flow

An agent took each opening with the key of a flow that it knew for a copy of that flow's opening and passed it on. New flows from the ports of closed ones thus reached draining upstreams, and cold ones beyond the warm-up limit.

The agent remembers the sequence number of the opening. An opening with another number, or after the end of a flow whose opening the agent has not seen, is subject to all declines and counts towards the limit. Late copies of a flow's opening are passed on as before.

forward_agent.feature: before the fix the draining upstream got the opening in all three cases, and the cold one got 20 openings at once (limit 10).

--- a/crocusmux/core/forward/agent.py
+++ b/crocusmux/core/forward/agent.py
@@ -115,15 +115,16 @@
     def _on_opening(
         self, now: float, seg: segments.Segment, balancer: Address
     ) -> Outputs:
-        reason = self._decline_reason(now, seg)
         flow = self._flows.get(seg.key)
         if flow is not None and flow.probing:
             reason = reports.DECLINED_LATE
             return [self._make_decline(seg.key, balancer, reason)]
-        if reason and flow is None:
-            return [self._make_decline(seg.key, balancer, reason)]
-        if flow is None:
-            flow = self._add_flow(now, seg.key, balancer)
+        if flow is None or flow.superseded_by(seg.seq):
+            reason = self._decline_reason(now, seg)
+            if reason:
+                return [self._make_decline(seg.key, balancer, reason)]
+            flow = flow or self._add_flow(now, seg.key, balancer)
+            flow.opening_seq = seg.seq
             self._returned_at.pop(seg.key, None)
             self.load.accept_flow(now, seg.key)
             # Also without a rate, which may arrive within the next second.
--- a/crocusmux/core/forward/agent_flows.py
+++ b/crocusmux/core/forward/agent_flows.py
@@ -10,6 +10,8 @@
 
     Attributes:
         balancer: Address of the balancer that sent the last segment.
+        opening_seq: Sequence number of the caller's SYN; None if the agent has
+            not seen it.
         upstream_isn: Sequence number of the upstream's SYN+ACK; None before.
         open: True once the caller has acknowledged this SYN+ACK, or the
             upstream has confirmed that it holds the flow.
@@ -31,6 +33,7 @@
         "closing",
         "last_segment_at",
         "open",
+        "opening_seq",
         "probing",
         "request_began_at",
         "request_end",
@@ -42,6 +45,7 @@
 
     def __init__(self, now: float, balancer: Address) -> None:
         self.balancer = balancer
+        self.opening_seq: int | None = None
         self.upstream_isn: int | None = None
         self.upstream_end: int | None = None
         self.open = False
@@ -54,6 +58,18 @@
         self.request_queued = False
         self.last_segment_at = now
 
+    def superseded_by(self, seq: int) -> bool:
+        """Returns True if an opening is that of another flow from the same port.
+
+        Otherwise it is a copy of this flow's opening.
+
+        Args:
+            seq: Sequence number of the opening.
+        """
+        if self.opening_seq is None:
+            return self.closing
+        return seq != self.opening_seq
+
     def acknowledges_syn_ack(self, ack: int) -> bool:
         """Returns True if ``ack`` acknowledges the upstream's SYN+ACK."""
         if self.upstream_isn is None:
--- a/features/forward_agent.feature
+++ b/features/forward_agent.feature
@@ -14,6 +14,38 @@
     And a balancer sends an opening
     Then the opening is declined as "leaving"
 
+  # Guards against new flows to a draining upstream from the ports of former ones,
+  # which the agent still knows.
+  Scenario Outline: An opening from the port of a former flow is a new flow
+    Given an agent of rounds whose upstream is ready
+    And an open flow
+    When <event>
+    And the upstream reports that it drains
+    And the caller opens another flow from that port
+    Then the opening is declined as "leaving"
+
+    Examples:
+      | event                                         |
+      | the upstream closes the flow                  |
+      | nothing closes the flow                       |
+      | the agent restarts and learns that it is over |
+
+  # Guards against a late copy of an opening that is declined, so that another
+  # upstream gets it too.
+  Scenario Outline: A late copy of a flow's opening is passed on
+    Given an agent of rounds whose upstream is ready
+    And an open flow
+    When <event>
+    And the upstream reports that it drains
+    And a late copy of the flow's opening arrives
+    Then the upstream gets it
+
+    Examples:
+      | event                               |
+      | the upstream closes the flow        |
+      | nothing closes the flow             |
+      | the agent restarts and finds it open |
+
   # Guards against an upstream that gets no flow for the rest of its life: a call
   # of its former boot, which had the same id, arrived after its restart.
   Scenario: A deregistration that arrives late stops new flows for a short time
@@ -496,6 +528,20 @@
     When the accepted openings are retransmitted 3 times
     Then the upstream gets all of the retransmissions
 
+  # Guards against openings beyond the limit, from ports of former flows.
+  Scenario: Openings from the ports of former flows count as new ones
+    Given an agent of rounds whose upstream is ready
+    And 20 flows that the upstream has closed
+    When 2 s pass at the agent
+    And a balancer with version 6 subscribes with the rate 10
+    And the same boot reports that it is cold for 2 s
+    And their callers open other flows from the same ports
+    Then 10 of them are accepted and the others declined as "warming-up"
+    When these openings are retransmitted 3 times
+    Then the upstream gets all of the retransmissions
+    When 20 openings arrive within 10 ms
+    Then 0 of them are accepted and the others declined as "warming-up"
+
   # Guards against a limit that outlasts the warm-up, as the next heartbeat may
   # be late or lost.
   Scenario: The limit ends with the warm-up, without another heartbeat
--- a/features/steps/forward_agent_steps.py
+++ b/features/steps/forward_agent_steps.py
@@ -17,6 +17,8 @@
 
 BALANCER = ("10.0.0.9", 7720)
 BORN_MS = 1000
+# Sequence number of an opening other than the first one from a port.
+OTHER_SEQ = 2000
 # Heads of IP and UDP, bytes.
 UDP_BYTES = 28
 
@@ -132,6 +134,61 @@
     from_balancer(context, segment(context.key, opening=True, ack=0))
 
 
+@when("nothing closes the flow")
+def nothing_closes(context):
+    del context
+
+
+@when("the agent restarts and finds it open")
+def restart_and_find(context):
+    late_agent(context, 1)
+    # The upstream goes on with the flow.
+    from_upstream(context, segment(context.open_key, False, length=500))
+
+
+@when("the agent restarts and learns that it is over")
+def restart_and_end(context):
+    restart_and_find(context)
+    upstream_closes(context)
+
+
+@when("the caller opens another flow from that port")
+def open_other_flow(context):
+    seg = segment(context.open_key, opening=True, seq=OTHER_SEQ, ack=0)
+    from_balancer(context, seg)
+
+
+@when("a late copy of the flow's opening arrives")
+def late_copy(context):
+    from_balancer(context, segment(context.open_key, opening=True, ack=1))
+
+
+@given("{count:d} flows that the upstream has closed")
+def closed_flows(context, count):
+    context.closed_keys = []
+    for number in range(count):
+        context.open_key = balancer_sample.flow_key(43_000 + number)
+        open_flow(context, context.open_key)
+        upstream_closes(context)
+        context.closed_keys.append(context.open_key)
+
+
+@when("their callers open other flows from the same ports")
+def reuse_ports(context):
+    context.accepted, context.declined = [], []
+    for key in context.closed_keys:
+        seg = segment(key, opening=True, seq=OTHER_SEQ, ack=0)
+        from_balancer(context, seg)
+        if outputs_of(context, outputs.ToUpstream):
+            context.accepted.append(key)
+        context.declined += messages(context, reports.OpeningDeclined)
+
+
+@when("these openings are retransmitted {count:d} times")
+def retransmit_others(context, count):
+    retransmit_accepted(context, count, OTHER_SEQ)
+
+
 @when("a balancer sends an opening for wheelbook")
 def send_foreign_opening(context):
     tag = upstreams.service_tag("wheelbook")
@@ -687,12 +744,13 @@
 
 
 @when("the accepted openings are retransmitted {count:d} times")
-def retransmit_accepted(context, count):
+def retransmit_accepted(context, count, seq=1000):
     context.retransmitted = 0
     context.retransmit_count = count * len(context.accepted)
     for _ in range(count):
         for key in context.accepted:
-            from_balancer(context, segment(key, opening=True, ack=1))
+            seg = segment(key, opening=True, seq=seq, ack=1)
+            from_balancer(context, seg)
             context.retransmitted += len(
                 outputs_of(context, outputs.ToUpstream)
             )
