Offer openings from ports of flows with an evacuated holder elsewhere

If a caller opened a flow from the port of a former one whose holder is in an evacuated domain, the balancer took the opening for a late copy in two cases and withheld it, with all retransmissions, until the former flow expired: if it had looked up the former flow's holder, and so did not know the sequence number of its opening, and if a lookup had queued the opening or the holder had got it just before the evacuation.

A late copy now has to precede the flow's last segment, and a further copy of an opening that no segment has followed is a sign that its caller waits.

--- a/crocusmux/core/forward/balancer.py
+++ b/crocusmux/core/forward/balancer.py
@@ -209,7 +209,7 @@
             if self._reuses_key(seg, flow):
                 self.flows.remove(seg.key)
                 return self._placement.on_new_flow(now, seg)
-            flow.opening_seq = seg.seq
+            flow.record_opening(seg)
         sent: Outputs = []
         if not flow.open:
             self._placement.openings.remove(seg.key)
@@ -229,9 +229,9 @@
         it is a late duplicate.  It must not get it while it is evacuated.
         """
         return (
-            flow.opening_seq not in (None, seg.seq)
-            and flow.lookup is None
+            flow.lookup is None
             and self._placement.is_evacuated(flow.holder)
+            and flow.superseded_by(seg)
         )
 
     def _on_unknown_flow(self, now: float, seg: segments.Segment) -> Outputs:
--- a/crocusmux/core/forward/flow_table.py
+++ b/crocusmux/core/forward/flow_table.py
@@ -6,6 +6,10 @@
 # A full table evicts its oldest flow.  An entry takes about 500 bytes, a full
 # table 50 MB.
 MAX_FLOWS = 100_000
+# Most bytes that a caller sends before a late copy of its opening arrives: 2 s at
+# 64 Mbit/s.  A port that is used again begins at any sequence number, so a larger
+# limit would take more of its openings for late copies.
+LATE_OPENING_BYTES = 1 << 24
 
 
 class Flow:
@@ -21,8 +25,11 @@
         declined_hosts: Hosts that declined the opening for good.
         opening_segment: The caller's SYN until the flow is open.
         opening_seq: Sequence number of that SYN; None without one here.
+        opening_copies: Number of earlier copies of the newest SYN for an open
+            flow; None if the caller has sent another segment since.
         last_segment: The newest segment while the holder is only assumed.
         lookup: Lookup of the holder; None without one.
+        seq: Sequence number of the caller's last segment after the opening.
         ack: The caller's last acknowledgement.
         opened_at: Time of the caller's first SYN, or of the first segment here if
             the flow was open before, seconds.
@@ -54,9 +61,11 @@
         "offered_hosts",
         "open",
         "opened_at",
+        "opening_copies",
         "opening_segment",
         "opening_seq",
         "probed_at",
+        "seq",
         "service",
     )
 
@@ -70,8 +79,10 @@
         self.declined_hosts: set[str] = set()
         self.opening_segment: segments.Segment | None = None
         self.opening_seq: int | None = None
+        self.opening_copies: int | None = None
         self.lookup: holder_lookup.HolderLookup | None = None
         self.last_segment: segments.Segment | None = None
+        self.seq = 0
         self.ack = 0
         self.opened_at = now
         self.offered_at = now
@@ -85,9 +96,33 @@
     def record_segment(self, seg: segments.Segment) -> None:
         """Updates the flow from a segment after the opening."""
         self.open = True
+        self.opening_copies = None
+        self.seq = seg.seq
         self.ack = seg.ack
         self.data_sent = seg.length > 0
 
+    def record_opening(self, seg: segments.Segment) -> None:
+        """Records an opening with the key of this flow, which is open."""
+        known = self.opening_copies or 0
+        if seg.seq != self.opening_seq:
+            known = 0
+        self.opening_seq = seg.seq
+        self.opening_copies = max(seg.ack, known)
+
+    def superseded_by(self, seg: segments.Segment) -> bool:
+        """Returns True if an opening is that of a new flow from the same port.
+
+        A late copy of the flow's own opening precedes its last segment.  If no
+        segment has followed an opening and another copy of it arrives, its
+        caller still waits for an answer.
+        """
+        if self.opening_seq is None:
+            sent = (self.seq - seg.seq) % segments.SEQUENCE_MODULUS
+            return sent > LATE_OPENING_BYTES
+        if self.opening_seq != seg.seq:
+            return True
+        return self.opening_copies is not None and seg.ack > self.opening_copies
+
 
 class FlowTable:
     """Flows of a balancer by key, in the order of their insertion."""
--- a/features/forward_balancer.feature
+++ b/features/forward_balancer.feature
@@ -837,6 +837,63 @@
     When the caller sends 1 segments
     Then the segment goes to the agent that was offered the flow first
 
+  # Guards against openings that are withheld until the former flow from the port
+  # expires: a balancer that has looked up the holder has not seen the sequence
+  # number of the former opening.
+  Scenario Outline: A port of a flow that was looked up is used again
+    Given a balancer in abay with the agents a, b there and c, d in enbek
+    When a segment of an unknown flow to rounds arrives
+    And agent b replies that it holds the flow
+    And abay is evacuated
+    And the caller opens another flow from the same port with sequence <seq>
+    Then one agent in enbek alone is offered the flow
+
+    Examples:
+      | seq        |
+      | 2000       |
+      | 4000000000 |
+
+  # Guards against a late copy of the former opening that counts as a new flow.
+  Scenario: A late copy of a flow's opening changes nothing at another balancer
+    Given a balancer in abay with the agents a, b there and c, d in enbek
+    When a segment of an unknown flow to rounds arrives
+    And agent b replies that it holds the flow
+    And abay is evacuated
+    And the caller opens another flow from the same port with sequence 999
+    Then no segment is sent
+    When the caller sends 3 segments
+    Then they all go to agent b
+
+  # Guards against the same for an opening that a lookup queued, or that reached
+  # the holder just before the evacuation: its caller still waits for an answer.
+  Scenario Outline: A caller whose opening was withheld retransmits it
+    Given a balancer in abay with the agents a, b there and c, d in enbek
+    When a segment of an unknown flow to rounds arrives
+    And <first>
+    And <second>
+    And abay is evacuated
+    And the caller opens another flow from the same port
+    And the caller retransmits that opening
+    Then one agent in enbek alone is offered the flow
+
+    Examples:
+      | first                                          | second                                         |
+      | agent b replies that it holds the flow         | the caller opens another flow from the same port |
+      | the caller opens another flow from the same port | agent b replies that it holds the flow         |
+
+  # Guards against a late copy with a higher number that replaces an open flow.
+  Scenario: A late retransmission of an acknowledged opening changes nothing
+    Given a balancer in abay with the agents a, b there and c, d in enbek
+    When a segment of an unknown flow to rounds arrives
+    And agent b replies that it holds the flow
+    And the caller opens another flow from the same port
+    And the caller sends 1 segments
+    And abay is evacuated
+    And the caller retransmits that opening
+    Then no segment is sent
+    When the caller sends 3 segments
+    Then they all go to agent b
+
   # Guards against an opening that was queued in a lookup and then reaches the
   # evacuated holder.
   Scenario: An opening that a lookup has queued goes to no evacuated upstream
--- a/features/steps/evacuation_steps.py
+++ b/features/steps/evacuation_steps.py
@@ -15,8 +15,8 @@
     context.outs = context.evacuation_outs
 
 
-def open_with(context, seq):
-    seg = balancer_sample.segment(context.key, opening=True)
+def open_with(context, seq, copies=0):
+    seg = balancer_sample.segment(context.key, opening=True, ack=copies)
     seg = msgspec.structs.replace(seg, seq=seq)
     context.outs = context.core.on_segment(context.now, seg)
 
@@ -102,8 +102,14 @@
 
 
 @when("the caller opens another flow from the same port")
-def reuse_port(context):
-    open_with(context, 2000)
+@when("the caller opens another flow from the same port with sequence {seq:d}")
+def reuse_port(context, seq=2000):
+    open_with(context, seq)
+
+
+@when("the caller retransmits that opening")
+def retransmit_other(context):
+    open_with(context, 2000, copies=1)
 
 
 @then("no agent in abay is offered the flow")
