Keep lower configuration versions beside one that nobody serves

A balancer that the store turns away gets newer configurations from peers, whose versions and addresses the reports of agents name. Agents and balancers kept the newest version only. If its source had ended or did not serve it, lower versions of peers stayed hidden until the store answered again.

Agents name all versions newer than that of the subscriber in turn, the newest first. No message changes.

The test of compact reports asks the new place for the newest version.

--- a/crocusmux/core/forward/balancer.py
+++ b/crocusmux/core/forward/balancer.py
@@ -5,6 +5,7 @@
 
 from crocusmux.core.forward import agent_changes
 from crocusmux.core.forward import agent_table
+from crocusmux.core.forward import config_sources
 from crocusmux.core.forward import evacuations
 from crocusmux.core.forward import explanation
 from crocusmux.core.forward import flow_table
@@ -36,8 +37,7 @@
         agent_table: All agents, with the load of their upstreams.
         flows: Connection tracking.
         evacuated: Failure domains whose upstreams get no new flows.
-        newest_config: Newest configuration version in any agent's report, and
-            the address that serves it.
+        config_sources: Configuration versions that the reports of agents name.
     """
 
     def __init__(
@@ -71,7 +71,7 @@
         self.agent_table = agent_table.AgentTable(failure_domain)
         self.flows = flow_table.FlowTable()
         self.evacuated = evacuations.EvacuatedDomains()
-        self.newest_config = (0, "")
+        self.config_sources = config_sources.ConfigSources()
         self._rng = rng
         self._placement = placement.Placement(
             self.routes,
@@ -281,11 +281,10 @@
         return reports.expand(report, service)
 
     def _on_report(self, now: float, report: reports.LoadReport) -> Outputs:
-        if (
-            report.config_source
-            and report.config_version > self.newest_config[0]
-        ):
-            self.newest_config = (report.config_version, report.config_source)
+        if report.config_source:
+            self.config_sources.record(
+                report.config_version, report.config_source
+            )
         upstream = self.agent_table.get(report.host)
         before = upstream.accepts(now) if upstream else False
         if not self.agent_table.on_report(now, report):
--- a/crocusmux/core/forward/subscribers.py
+++ b/crocusmux/core/forward/subscribers.py
@@ -20,6 +20,8 @@
         address: Address for the reports.
         compact: True if the balancer can decode compact reports.
         config_version: Version of the configuration in force at the balancer.
+        config_source: Address that serves it.
+        told: Number of reports that named a newer version to the balancer.
         next_report_at: Time of the next report, seconds.
         interval_s: Requested interval between reports, seconds.
         valid_until: Time at which the subscription expires, seconds.
@@ -28,9 +30,11 @@
     __slots__ = (
         "address",
         "compact",
+        "config_source",
         "config_version",
         "interval_s",
         "next_report_at",
+        "told",
         "valid_until",
     )
 
@@ -38,6 +42,8 @@
         self.address = address
         self.compact = False
         self.config_version = 0
+        self.config_source = ""
+        self.told = 0
         self.next_report_at = 0.0
         self.interval_s = 0.0
         self.valid_until = 0.0
@@ -88,7 +94,10 @@
         subscriber = known or Subscriber(message.address)
         subscriber.valid_until = now + message.valid_s
         subscriber.interval_s = message.interval_s
+        if subscriber.config_version != message.config_version:
+            subscriber.told = 0
         subscriber.config_version = message.config_version
+        subscriber.config_source = message.config_source
         subscriber.compact = message.compact
         self._by_ip[ip] = subscriber
         return subscriber, known is None
@@ -107,11 +116,22 @@
         return interval_s
 
     def newest_config_for(self, subscriber: Subscriber) -> tuple[int, str]:
-        """Returns the newest version; its source if the subscriber lacks it."""
-        version, source = self.newest_config
-        if version <= subscriber.config_version:
-            return version, ""
-        return version, source
+        """Returns the newest version; a newer one and its source if it lacks it.
+
+        The source of the newest version may have ended, so reports name all
+        newer versions and sources in turn, the newest first.
+        """
+        newest = self.newest_config
+        if newest[0] <= subscriber.config_version:
+            return newest[0], ""
+        others = {
+            (x.config_version, x.config_source)
+            for x in self.all()
+            if x.config_version > subscriber.config_version and x.config_source
+        }
+        newer = [newest, *sorted(others - {newest}, reverse=True)]
+        subscriber.told += 1
+        return newer[(subscriber.told - 1) % len(newer)]
 
     def expire(self, now: float) -> None:
         """Removes subscribers that no longer renew."""
--- a/crocusmux/daemons/forward_balancer.py
+++ b/crocusmux/daemons/forward_balancer.py
@@ -272,7 +272,7 @@
                 knows none of them either.
         """
         sources = {f"{ip}:{port}" for ip, port in self._cfg.seeds}
-        sources.add(self.core.newest_config[1])
+        sources.add(self.core.config_sources.newest()[1])
         peers = sorted(sources - {self._own_source, ""})
         self._rng.shuffle(peers)
         await asyncio.sleep(self._rng.uniform(0, MAX_SKIP_DELAY_S))
@@ -457,15 +457,22 @@
             await asyncio.sleep(balancer.TIMER_INTERVAL_S)
 
     def _check_staleness(self, now: float) -> None:
-        version, source = self.core.newest_config
-        if version <= self.core.routes.version or source == self._own_source:
+        newer = self.core.config_sources.choose(
+            now, self.core.routes.version, self._own_source
+        )
+        if newer is None:
             self._stale_since = None
             return
         if self._stale_since is None:
             self._stale_since = now
         elif now - self._stale_since >= STALE_CONFIG_S:
             self._stale_since = now
-            process.start_task(self._tasks, self._fetch_state(source))
+            process.start_task(self._tasks, self._fetch_newer(*newer))
+
+    async def _fetch_newer(self, version: int, source: str) -> None:
+        """Fetches a configuration of which a report names version and source."""
+        if await self._fetch_state(source) < version:
+            self.core.config_sources.record_failure(self._loop.time(), source)
 
     def _on_request(self, req: httputil.HTTPServerRequest) -> tuple[int, bytes]:
         known = self.core.evacuated.known(self._loop.time())
--- a/features/forward_path.feature
+++ b/features/forward_path.feature
@@ -23,6 +23,20 @@
     And a caller opens a flow through balancer 1
     Then the caller gets a reset over the wire
 
+  # Guards against fault CONFIG: a report that names a high version of a source
+  # that does not serve it, or that has ended, hid the lower versions of peers.
+  Scenario Outline: A version that nobody serves hides no version of a peer
+    Given a store with a route to rounds, 2 balancers and 2 agents of rounds
+    When the store rejects the calls of balancer 2
+    And <message> names version 1000 of a host that has ended
+    And the operator adds a route on port 9090
+    Then balancer 2 has the new version within 3 s
+
+    Examples:
+      | message        |
+      | a report       |
+      | a subscription |
+
   # Guards against fault CONFIG at a balancer whose calls the store rejects. The
   # agents' reports name a peer that has the change.
   Scenario: A balancer that the store rejects gets a change from its peer
--- a/features/steps/control_traffic_steps.py
+++ b/features/steps/control_traffic_steps.py
@@ -78,7 +78,7 @@
 def check_known(context):
     assert context.core.agent_table.get("a").report == context.full
     source = (context.full.config_version, context.full.config_source)
-    assert context.core.newest_config == source
+    assert context.core.config_sources.newest() == source
 
 
 @when("agent a sends a compact report of wheelbook")
--- a/features/steps/forward_path_steps.py
+++ b/features/steps/forward_path_steps.py
@@ -9,6 +9,7 @@
 from behave import when
 
 from crocusmux import forwarding
+from crocusmux.core.forward import reports
 from crocusmux.core.forward import routes
 from crocusmux.core.forward import segments
 from crocusmux.daemons import forward_agent
@@ -476,6 +477,42 @@
     context.standin.cut_watches()
 
 
+@when("a {message:w} names version 1000 of a host that has ended")
+def name_version(context, message):
+    source = f"127.0.1.9:{context.ports['control']}"
+    report = reports.LoadReport(
+        host="agent-9",
+        service="rounds",
+        incarnation=1,
+        sequence=1,
+        accepting=True,
+        slots=1,
+        in_progress=0.0,
+        flows=0,
+        service_ms=0.0,
+        interval_s=0.25,
+        config_version=1000,
+        config_source=source,
+    )
+    subscription = reports.Subscribe(
+        "balancer-9",
+        ("127.0.1.9", context.ports["messages"]),
+        1000,
+        source,
+        10.0,
+        0.25,
+    )
+    if message == "report":
+        sent = {"127.0.1.2": report}
+    else:
+        sent = {"127.0.2.1": subscription, "127.0.2.2": subscription}
+    for ip, value in sent.items():
+        to = (ip, context.ports["messages"])
+        context.caller_socket.send(reports.encode(value), to)
+    core = context.daemons["balancer", 2].core
+    wait_until(context, lambda: core.config_sources.newest()[0] == 1000)
+
+
 @then("balancer {number:d} has the new version within {seconds:d} s")
 def has_version(context, number, seconds):
     core = context.daemons["balancer", number].core
