Ask the agents of all services if no peer knows the former ones

A route keeps its former services in the memory of balancers. If all of them lost power, nobody knew these services, and open flows of an upstream of a former service were reset, as lookups asked the present service only.

A balancer that has learnt the former services from no peer now queries the agents of all services once before it counts a flow as lost. An uncertain agent of another service counts as one that denies, since its upstream must not be probed with a flow of another service. The service of an agent that claims such a flow is remembered as a former one.

former_services.feature: before the fix the caller got a reset in "An open flow of a former service survives a restart of all balancers", and agent d was not queried in the other four cases. spec/former_services.lp covers a history that nobody knows, and finds the variant without this query.

--- a/crocusmux/core/forward/agent_table.py
+++ b/crocusmux/core/forward/agent_table.py
@@ -245,6 +245,10 @@
             self._failure_domain, [service for service in known if service]
         )
 
+    def for_all_services(self) -> "ServiceAgents":
+        """Returns the agents of all services."""
+        return self.for_services(self._by_service)
+
     def all(self) -> list[upstreams.Upstream]:
         """Returns all upstreams."""
         return list(self._by_host.values())
--- a/crocusmux/core/forward/holder_lookup.py
+++ b/crocusmux/core/forward/holder_lookup.py
@@ -47,6 +47,8 @@
         last_segment_at: Time of the caller's last segment, seconds.
         searches: Searches that all agents have denied.
         began_at: Time at which the lookup began, seconds.
+        all_services: True once agents of all services are queried, as nobody
+            knows the former services of the flow's route.
     """
 
     __slots__ = (
@@ -55,6 +57,7 @@
         "_rounds",
         "_timeout_s",
         "_uncertain",
+        "all_services",
         "began_at",
         "last_segment_at",
         "probe_segment",
@@ -69,6 +72,7 @@
         self.queried_at = float("-inf")
         self.last_segment_at = now
         self.began_at = now
+        self.all_services = False
         self.searches = 0
         self._rounds = 0
         self._timeout_s = ROUND_TIMEOUT_S
--- a/crocusmux/core/forward/holder_resolver.py
+++ b/crocusmux/core/forward/holder_resolver.py
@@ -203,6 +203,9 @@
         if flow.lookup is not None:
             queued = flow.lookup.queued_segments
             self._record_outcome(found=True)
+            service = self._of_other_service(host, key)
+            if service:
+                self._routes.learn_holding_service(key, service)
         flow.holder = host
         flow.holder_confirmed = True
         flow.last_segment = flow.opening_segment = flow.lookup = None
@@ -217,7 +220,12 @@
     def _on_uncertain(self, now: float, host: str, key: bytes) -> Outputs:
         flow = self._flows.get(key)
         lookup = flow.lookup if flow else None
-        if lookup is None or not lookup.record_uncertain(host):
+        if lookup is None:
+            return []
+        if self._of_other_service(host, key):
+            # Its upstream must get no segment of a flow that it may not hold.
+            return self.on_denied(now, reports.FlowDenied(host, key))
+        if not lookup.record_uncertain(host):
             return []
         return self._on_round_complete(now, lookup)
 
@@ -236,6 +244,9 @@
         listed_at = self._agent_table.listed_at
         awaited = self._routes.awaits_former_services
         if lookup.proves_loss(listed_at) and not awaited:
+            if not (self._routes.knows_former_services or lookup.all_services):
+                lookup.all_services = True
+                return self._query_round(now, lookup)
             return self._on_flow_lost(lookup.probe_segment.key, "denied-by-all")
         interval_s = NO_DATA_LIST_INTERVAL_S
         if lookup.probe_segment.length:
@@ -293,9 +304,20 @@
     def _possible_holders(
         self, lookup: holder_lookup.HolderLookup
     ) -> agent_table.ServiceAgents:
+        if lookup.all_services:
+            return self._agent_table.for_all_services()
         services = self._routes.possible_services(lookup.probe_segment.key)
         return self._agent_table.for_services(services)
 
+    def _of_other_service(self, host: str, key: bytes) -> str:
+        """Returns an agent's service if it is none of a flow's; else empty."""
+        upstream = self._agent_table.get(host)
+        if upstream is None:
+            return ""
+        service = upstream.record.service
+        possible = self._routes.possible_services(key)
+        return "" if service in possible else service
+
     def _on_holder_denial(
         self, now: float, message: reports.FlowDenied, flow: flow_table.Flow
     ) -> Outputs:
--- a/crocusmux/core/forward/routes.py
+++ b/crocusmux/core/forward/routes.py
@@ -134,6 +134,8 @@
         configuration: The configuration; version 0 before the first.
         awaits_former_services: True while peers may still tell former services,
             so that no flow counts as lost.
+        knows_former_services: False if no peer has told them, as after a loss
+            of power of all balancers.
     """
 
     __slots__ = (
@@ -142,11 +144,13 @@
         "_warmup_rates",
         "awaits_former_services",
         "configuration",
+        "knows_former_services",
     )
 
     def __init__(self) -> None:
         self.configuration = Configuration(0)
         self.awaits_former_services = False
+        self.knows_former_services = True
         self._by_address: dict[bytes, Route] = {}
         self._former_services: dict[bytes, set[str]] = {}
         self._warmup_rates: dict[str, float] = {}
@@ -202,6 +206,10 @@
                 address = encode_route_address(route.address)
                 self._add_former_services(address, route.services())
 
+    def learn_holding_service(self, key: bytes, service: str) -> None:
+        """Adds a service, of which an agent holds a flow, to the flow's route."""
+        self._add_former_services(key[6:], (service,))
+
     def _add_former_services(
         self, address: bytes, services: Iterable[str]
     ) -> None:
--- a/crocusmux/daemons/forward_balancer.py
+++ b/crocusmux/daemons/forward_balancer.py
@@ -92,7 +92,7 @@
         self._own_source = source
         self._stopping = False
         self._stale_since: float | None = None
-        self._knows_former_services = cfg.first_start
+        self.core.routes.knows_former_services = cfg.first_start
         self.core.routes.awaits_former_services = not cfg.first_start
         self._list_task: asyncio.Task | None = None
         # Waits to ask a peer about skipped configurations.
@@ -379,7 +379,8 @@
     def _seeded(self, attempt: int) -> bool:
         """Returns True if no peer needs to be asked any more."""
         return self._store_answered() and (
-            self._knows_former_services or attempt >= MAX_HISTORY_ATTEMPTS
+            self.core.routes.knows_former_services
+            or attempt >= MAX_HISTORY_ATTEMPTS
         )
 
     def _learn_former_services(
@@ -395,7 +396,7 @@
         # A peer without a configuration has no history to tell, and one that has
         # started as well may not know it.
         if state.config.version and state.knows_former_services:
-            self._knows_former_services = True
+            self.core.routes.knows_former_services = True
 
     def _store_answered(self) -> bool:
         """Returns True once all kinds of objects have been listed."""
@@ -500,7 +501,7 @@
             tuple(reporting),
             self.core.routes.former_services(),
             tuple(sorted(self.core.evacuated)),
-            self._knows_former_services,
+            self.core.routes.knows_former_services,
         )
 
 
--- a/features/former_services.feature
+++ b/features/former_services.feature
@@ -14,6 +14,54 @@
     Then the upstream that answered gets it once and the other one nothing
     And the caller gets the answer
 
+  # Guards against fault FLOW (a): after a loss of power of all balancers nobody
+  # knew the former service of a route, and its open flows were reset.
+  Scenario: An open flow of a former service survives a restart of all balancers
+    Given a store with a route to rounds, 2 balancers and agents of rounds and wheelbook
+    When a caller opens a flow through balancer 1
+    Then the caller gets a SYN+ACK
+    When the caller acknowledges it through balancer 1
+    And the operator moves the route to wheelbook
+    And balancers 1 and 2 are killed and start again
+    And the caller sends a request through balancer 2 until it gets a packet
+    Then the caller gets the answer
+    When the caller sends a request through balancer 1 until it gets a packet
+    Then the caller gets the answer
+
+  # Guards against the same, against packets of the flow at other services, and
+  # against callers of lost flows that are not reset.
+  Scenario Outline: Without the former services agents of all services are asked once
+    Given a balancer with the agents a, b, c of rounds and d of wheelbook
+    And a balancer that knows no former services
+    When a segment of an unknown flow to rounds arrives
+    And agents a, b, c deny the flow
+    And 0.1 s pass
+    And agents a, b, c deny the flow
+    And 0.1 s pass
+    Then only agent d is queried for it
+    When agent d replies that it <reply> the flow
+    Then <outcome>
+
+    Examples:
+      | reply             | outcome                                       |
+      | holds             | agent d gets 1 segments of it                 |
+      | does not hold     | the caller gets a reset near its acknowledgement |
+      | is uncertain of   | the caller gets a reset near its acknowledgement |
+
+  # Guards against a search among all services for each flow of the same route.
+  Scenario: A service that holds a flow of a route is asked for the next one
+    Given a balancer with the agents a, b, c of rounds and d of wheelbook
+    And a balancer that knows no former services
+    When a segment of an unknown flow to rounds arrives
+    And agents a, b, c deny the flow
+    And 0.1 s pass
+    And agents a, b, c deny the flow
+    And 0.1 s pass
+    And agent d replies that it holds the flow
+    And a segment of another unknown flow to rounds arrives
+    And 0.1 s pass
+    Then the agents a, b, c, d are queried for it
+
   # Guards against a history that is lost in a rolling restart: a balancer asked
   # no other peer after one that had started as well ("trusts_new_peer").
   Scenario: A peer that does not know the former services is not the last asked
--- a/features/steps/former_services_steps.py
+++ b/features/steps/former_services_steps.py
@@ -39,6 +39,19 @@
     forward_path.wait_until(context, core.ready)
 
 
+@when("balancers 1 and 2 are killed and start again")
+def kill_all_balancers(context):
+    for number in (1, 2):
+        forward_path.kill_daemon(context, "balancer", number)
+    cores = [start_again(context, number) for number in (1, 2)]
+    forward_path.wait_until(context, lambda: all(x.ready() for x in cores))
+
+
+@given("a balancer that knows no former services")
+def no_former_services(context):
+    context.core.routes.knows_former_services = False
+
+
 @then("balancers 2 and 3 know that the route led to rounds within 2 s")
 def know_former_services(context):
     cores = [context.daemons["balancer", number].core for number in (2, 3)]
--- a/features/steps/forward_path_steps.py
+++ b/features/steps/forward_path_steps.py
@@ -746,10 +746,13 @@
         start_daemon(context, "balancer", number)
 
 
-@when("the caller sends a request through balancer 3 until it gets a packet")
-def send_until_packet(context):
+@when(
+    "the caller sends a request through balancer {number:d} until it gets a"
+    " packet"
+)
+def send_until_packet(context, number):
     def got_packet():
-        send_request(context, 3)
+        send_request(context, number)
         return context.caller
 
     wait_until(context, got_packet, 10)
--- a/features/steps/holder_lookup_steps.py
+++ b/features/steps/holder_lookup_steps.py
@@ -34,16 +34,31 @@
     context.outs = context.core.on_segment(context.now, seg)
 
 
-@when("agent {host} replies that it holds the flow")
-def reply_claim(context, host):
+@when("a segment of another unknown flow to rounds arrives")
+def other_unknown_segment(context):
+    context.key = balancer_sample.flow_key(40003)
+    seg = balancer_sample.segment(context.key, ack=77_000, length=100)
+    context.outs = context.core.on_segment(context.now, seg)
+
+
+@when("agent {host} replies that it {reply} the flow")
+def reply_claim(context, host, reply):
+    masks = {
+        "holds": (1, 0),
+        "is uncertain of": (0, 1),
+        "does not hold": (0, 0),
+    }
+    claimed, uncertain = masks[reply]
     sent_queries = context.sent_queries + balancer_sample.queries_in(
         context, context.outs
     )
     for name, query in sent_queries:
         if name == host and context.key in dict(query.flows):
             position = [key for key, _ in query.flows].index(context.key)
-            reply = reports.FlowQueryReply(host, query.number, 1 << position, 0)
-            context.outs = context.core.on_message(context.now, reply)
+            message = reports.FlowQueryReply(
+                host, query.number, claimed << position, uncertain << position
+            )
+            context.outs = context.core.on_message(context.now, message)
             return
     raise AssertionError(f"{host} was not queried: {sent_queries}")
 
--- a/spec/check.py
+++ b/spec/check.py
@@ -103,6 +103,14 @@
     "peers": "",
     "config": "",
 }
+# The same without a balancer that knows the former services for sure.
+NOBODY_KNOWS = {
+    **FORMER_SERVICES,
+    "daemons": """
+        balancer(p; q). versions(2). restart_budget(3).""",
+    "wait": "gives_up.",
+    "all": "asks_all.",
+}
 RECORDS = {
     "agent": "incarnations(3).",
     "condition": "names_revision.",
@@ -321,6 +329,13 @@
         "the flow is newer than the configuration",
         {"config": "reads_no_config."},
     ),
+    Check(
+        "flow of a former service reset: nobody knows the former services",
+        "former_services",
+        "live_flow_reset",
+        NOBODY_KNOWS,
+        {"all": ""},
+    ),
     Check(
         "record of a newer incarnation deleted: the delete has no condition",
         "records",
--- a/spec/former_services.lp
+++ b/spec/former_services.lp
@@ -3,8 +3,7 @@
 % In version V of the configuration the route leads to service V alone.  An agent
 % of the service under which the flow was opened holds it for good, and agents
 % answer truthfully (forwarding.lp has the queries).  One action happens in a
-% step.  One balancer never restarts and applies each version, so that somebody
-% knows the former services.
+% step.  With steady(B) somebody knows the former services.
 %
 % A check adds these predicates:
 %   balancer(B)         the balancers
@@ -18,6 +17,9 @@
 %   trusts_new_peer     a peer that does not know the former services ends the
 %                       wait for them
 %   trusts_stale_peer   a peer whose version is too old does so
+%   gives_up            a balancer that knows them from no peer counts flows as lost
+%                       nevertheless
+%   asks_all            such a balancer asks the agents of all services first
 %   reads_no_config     a flow counts as lost by a configuration that was read
 %                       before the lookup began
 
@@ -60,6 +62,8 @@
 % Services that a balancer asks, and whether it knows all former ones.
 asks(B, V, S) :- config(B, V, S).
 asks(B, V, S) :- knows(B, V, S), not asks_present_only.
+asks(B, V, S) :-
+  config(B, _, S), version(N, S), V = 0..N, asks_all, not complete(B, S).
 knows(B, V, S + 1) :- config(B, V, S), changes(B, S).
 knows(B, V, S + 1) :- does(hear(B, _), S), told(B, V, S).
 knows(B, V, S + 1) :- knows(B, V, S), step(S), not does(restart(B), S).
@@ -103,6 +107,7 @@
 fresh(B, S) :- lookup(B, S), reads_no_config.
 may_reset(B, S) :- lookup(B, S), fresh(B, S), complete(B, S).
 may_reset(B, S) :- lookup(B, S), fresh(B, S), resets_early.
+may_reset(B, S) :- lookup(B, S), fresh(B, S), gives_up.
 
 violation(live_flow_reset) :-
   may_reset(B, S), open(V, S), config(B, _, S), not asks(B, V, S).
