Ask other services in the second search for a lost flow

A round of its own after the second search delayed the resets of all lost flows after a loss of power of all balancers. The second search now queries the agents of all services if no peer knows the former ones.

features/former_services.feature has the cases, among them that of a balancer whose searches end while it waits for its peers.

--- a/crocusmux/core/forward/holder_resolver.py
+++ b/crocusmux/core/forward/holder_resolver.py
@@ -243,11 +243,16 @@
     ) -> Outputs:
         listed_at = self._agent_table.listed_at
         awaited = self._routes.awaits_former_services
-        if lookup.proves_loss(listed_at) and not awaited:
-            if not (self._routes.knows_former_services or lookup.all_services):
-                lookup.all_services = True
-                return self._query_round(now, lookup)
+        proven = lookup.proves_loss(listed_at) and not awaited
+        known = self._routes.knows_former_services or lookup.all_services
+        if proven and known:
             return self._on_flow_lost(lookup.probe_segment.key, "denied-by-all")
+        if not known and not awaited:
+            # The second search asks all services, as one more round after it
+            # would delay the resets of lost flows.
+            lookup.all_services = True
+            if proven:
+                return self._query_round(now, lookup)
         interval_s = NO_DATA_LIST_INTERVAL_S
         if lookup.probe_segment.length:
             interval_s = LIST_INTERVAL_S
--- a/features/former_services.feature
+++ b/features/former_services.feature
@@ -34,11 +34,12 @@
     Given a balancer with the agents a, b, c of rounds and d of wheelbook
     And a balancer that knows no former services
     When a segment of an unknown flow to rounds arrives
-    And agents a, b, c deny the flow
-    And 0.1 s pass
-    And agents a, b, c deny the flow
+    Then the agents a, b, c are queried for it
+    When agents a, b, c deny the flow
     And 0.1 s pass
-    Then only agent d is queried for it
+    Then the agents a, b, c, d are queried for it
+    When agents a, b, c deny the flow
+    Then the caller gets no reset
     When agent d replies that it <reply> the flow
     Then <outcome>
 
@@ -48,6 +49,24 @@
       | does not hold     | the caller gets a reset near its acknowledgement |
       | is uncertain of   | the caller gets a reset near its acknowledgement |
 
+  # Guards against a reset of a flow whose searches ended while the balancer still
+  # waited for peers.
+  Scenario: After the wait for peers agents of all services are asked as well
+    Given a balancer with the agents a, b, c of rounds and d of wheelbook
+    And a balancer that knows no former services
+    When the balancer waits for its peers
+    And a segment of an unknown flow to rounds arrives
+    And agents a, b, c deny the flow
+    And 0.1 s pass
+    And agents a, b, c deny the flow
+    And 0.1 s pass
+    Then 0 agents are queried for it
+    When no peer knows the former services
+    And 0.1 s pass
+    Then only agent d is queried for it
+    When agent d replies that it holds the flow
+    Then agent d gets 1 segments of it
+
   # Guards against a search among all services for each flow of the same route.
   Scenario: A service that holds a flow of a route is asked for the next one
     Given a balancer with the agents a, b, c of rounds and d of wheelbook
@@ -55,8 +74,6 @@
     When a segment of an unknown flow to rounds arrives
     And agents a, b, c deny the flow
     And 0.1 s pass
-    And agents a, b, c deny the flow
-    And 0.1 s pass
     And agent d replies that it holds the flow
     And a segment of another unknown flow to rounds arrives
     And 0.1 s pass
--- a/features/steps/former_services_steps.py
+++ b/features/steps/former_services_steps.py
@@ -47,6 +47,16 @@
     forward_path.wait_until(context, lambda: all(x.ready() for x in cores))
 
 
+@when("the balancer waits for its peers")
+def wait_for_peers(context):
+    context.core.routes.awaits_former_services = True
+
+
+@when("no peer knows the former services")
+def end_wait(context):
+    context.core.routes.awaits_former_services = False
+
+
 @given("a balancer that knows no former services")
 def no_former_services(context):
     context.core.routes.knows_former_services = False
