--- a/crocusmux/core/forward/balancer.py
+++ b/crocusmux/core/forward/balancer.py
@@ -5,6 +5,7 @@
 
 from crocusmux.core.forward import agent_changes
 from crocusmux.core.forward import agent_table
+from crocusmux.core.forward import config_sources
 from crocusmux.core.forward import evacuations
 from crocusmux.core.forward import explanation
 from crocusmux.core.forward import flow_table
@@ -36,8 +37,7 @@
         agent_table: All agents, with the load of their upstreams.
         flows: Connection tracking.
         evacuated: Failure domains whose upstreams get no new flows.
-        newest_config: Newest configuration version in any agent's report, and
-            the address that serves it.
+        config_sources: Configuration versions that the reports of agents name.
     """
 
     def __init__(
@@ -71,7 +71,7 @@
         self.agent_table = agent_table.AgentTable(failure_domain)
         self.flows = flow_table.FlowTable()
         self.evacuated = evacuations.EvacuatedDomains()
-        self.newest_config = (0, "")
+        self.config_sources = config_sources.ConfigSources()
         self._rng = rng
         self._placement = placement.Placement(
             self.routes,
@@ -88,7 +88,12 @@
             self.routes, self.agent_table, self.flows, self.evacuated
         )
         self._subscriptions = subscriptions.Subscriptions(
-            host, address, config_source, self.agent_table, self.routes
+            host,
+            address,
+            config_source,
+            self.agent_table,
+            self.routes,
+            self.evacuated,
         )
         self._agent_changes = agent_changes.AgentChanges(
             self.agent_table, self._subscriptions
@@ -138,8 +143,9 @@
         removed: Iterable[str] = (),
         full: bool = False,
         known: bool = True,
+        revision: int = 0,
     ) -> Outputs:
-        """Applies evacuated failure domains.
+        """Applies evacuated failure domains, and tells their agents.
 
         Args:
             now: Time in seconds.
@@ -147,8 +153,11 @@
             removed: Failure domains whose evacuation has ended.
             full: True if ``domains`` is the complete list; False for changes.
             known: False if a list is still waited for.
+            revision: As for ``EvacuatedDomains.update``.
         """
-        begun, ended = self.evacuated.update(domains, removed, full, known)
+        begun, ended = self.evacuated.update(
+            now, domains, removed, full, known, revision
+        )
         sent: Outputs = [
             outputs.Event("evacuate", b"", f"domain={domain}", True)
             for domain in begun
@@ -159,7 +168,8 @@
         ]
         if begun:
             sent += self._placement.refuse_evacuated(now)
-        return sent
+        # Before the next opening, which the agents of these domains may limit.
+        return sent + self._subscriptions.tell_evacuations(now, begun + ended)
 
     def ready(self) -> bool:
         """Returns True if new flows can be placed or refused."""
@@ -199,7 +209,7 @@
             if self._reuses_key(seg, flow):
                 self.flows.remove(seg.key)
                 return self._placement.on_new_flow(now, seg)
-            flow.opening_seq = seg.seq
+            flow.record_opening(seg)
         sent: Outputs = []
         if not flow.open:
             self._placement.openings.remove(seg.key)
@@ -219,9 +229,9 @@
         it is a late duplicate.  It must not get it while it is evacuated.
         """
         return (
-            flow.opening_seq not in (None, seg.seq)
-            and flow.lookup is None
+            flow.lookup is None
             and self._placement.is_evacuated(flow.holder)
+            and flow.superseded_by(seg)
         )
 
     def _on_unknown_flow(self, now: float, seg: segments.Segment) -> Outputs:
@@ -271,11 +281,10 @@
         return reports.expand(report, service)
 
     def _on_report(self, now: float, report: reports.LoadReport) -> Outputs:
-        if (
-            report.config_source
-            and report.config_version > self.newest_config[0]
-        ):
-            self.newest_config = (report.config_version, report.config_source)
+        if report.config_source:
+            self.config_sources.record(
+                report.config_version, report.config_source
+            )
         upstream = self.agent_table.get(report.host)
         before = upstream.accepts(now) if upstream else False
         if not self.agent_table.on_report(now, report):
--- a/crocusmux/daemons/forward_balancer.py
+++ b/crocusmux/daemons/forward_balancer.py
@@ -92,7 +92,7 @@
         self._own_source = source
         self._stopping = False
         self._stale_since: float | None = None
-        self._knows_former_services = cfg.first_start
+        self.core.routes.knows_former_services = cfg.first_start
         self.core.routes.awaits_former_services = not cfg.first_start
         self._list_task: asyncio.Task | None = None
         # Waits to ask a peer about skipped configurations.
@@ -272,7 +272,7 @@
                 knows none of them either.
         """
         sources = {f"{ip}:{port}" for ip, port in self._cfg.seeds}
-        sources.add(self.core.newest_config[1])
+        sources.add(self.core.config_sources.newest()[1])
         peers = sorted(sources - {self._own_source, ""})
         self._rng.shuffle(peers)
         await asyncio.sleep(self._rng.uniform(0, MAX_SKIP_DELAY_S))
@@ -284,9 +284,14 @@
 
     def _on_evacuation_changes(self, changes: forwarding.Changes) -> None:
         names = self._check_domains(item.name for item in changes.items)
+        removed = self._check_domains(changes.removed)
         self._execute(
             self.core.update_evacuations(
-                self._loop.time(), names, changes.removed, changes.full
+                self._loop.time(),
+                names,
+                removed,
+                changes.full,
+                revision=changes.revision,
             )
         )
 
@@ -374,7 +379,8 @@
     def _seeded(self, attempt: int) -> bool:
         """Returns True if no peer needs to be asked any more."""
         return self._store_answered() and (
-            self._knows_former_services or attempt >= MAX_HISTORY_ATTEMPTS
+            self.core.routes.knows_former_services
+            or attempt >= MAX_HISTORY_ATTEMPTS
         )
 
     def _learn_former_services(
@@ -390,7 +396,7 @@
         # A peer without a configuration has no history to tell, and one that has
         # started as well may not know it.
         if state.config.version and state.knows_former_services:
-            self._knows_former_services = True
+            self.core.routes.knows_former_services = True
 
     def _store_answered(self) -> bool:
         """Returns True once all kinds of objects have been listed."""
@@ -452,15 +458,22 @@
             await asyncio.sleep(balancer.TIMER_INTERVAL_S)
 
     def _check_staleness(self, now: float) -> None:
-        version, source = self.core.newest_config
-        if version <= self.core.routes.version or source == self._own_source:
+        newer = self.core.config_sources.choose(
+            now, self.core.routes.version, self._own_source
+        )
+        if newer is None:
             self._stale_since = None
             return
         if self._stale_since is None:
             self._stale_since = now
         elif now - self._stale_since >= STALE_CONFIG_S:
             self._stale_since = now
-            process.start_task(self._tasks, self._fetch_state(source))
+            process.start_task(self._tasks, self._fetch_newer(*newer))
+
+    async def _fetch_newer(self, version: int, source: str) -> None:
+        """Fetches a configuration of which a report names version and source."""
+        if await self._fetch_state(source) < version:
+            self.core.config_sources.record_failure(self._loop.time(), source)
 
     def _on_request(self, req: httputil.HTTPServerRequest) -> tuple[int, bytes]:
         known = self.core.evacuated.known(self._loop.time())
@@ -488,7 +501,7 @@
             tuple(reporting),
             self.core.routes.former_services(),
             tuple(sorted(self.core.evacuated)),
-            self._knows_former_services,
+            self.core.routes.knows_former_services,
         )
 
 
--- a/features/steps/forward_path_steps.py
+++ b/features/steps/forward_path_steps.py
@@ -1,5 +1,6 @@
 import asyncio
 import json
+import math
 import random
 import socket
 
@@ -8,6 +9,7 @@
 from behave import when
 
 from crocusmux import forwarding
+from crocusmux.core.forward import reports
 from crocusmux.core.forward import routes
 from crocusmux.core.forward import segments
 from crocusmux.daemons import forward_agent
@@ -475,6 +477,42 @@
     context.standin.cut_watches()
 
 
+@when("a {message:w} names version 1000 of a host that has ended")
+def name_version(context, message):
+    source = f"127.0.1.9:{context.ports['control']}"
+    report = reports.LoadReport(
+        host="agent-9",
+        service="rounds",
+        incarnation=1,
+        sequence=1,
+        accepting=True,
+        slots=1,
+        in_progress=0.0,
+        flows=0,
+        service_ms=0.0,
+        interval_s=0.25,
+        config_version=1000,
+        config_source=source,
+    )
+    subscription = reports.Subscribe(
+        "balancer-9",
+        ("127.0.1.9", context.ports["messages"]),
+        1000,
+        source,
+        10.0,
+        0.25,
+    )
+    if message == "report":
+        sent = {"127.0.1.2": report}
+    else:
+        sent = {"127.0.2.1": subscription, "127.0.2.2": subscription}
+    for ip, value in sent.items():
+        to = (ip, context.ports["messages"])
+        context.caller_socket.send(reports.encode(value), to)
+    core = context.daemons["balancer", 2].core
+    wait_until(context, lambda: core.config_sources.newest()[0] == 1000)
+
+
 @then("balancer {number:d} has the new version within {seconds:d} s")
 def has_version(context, number, seconds):
     core = context.daemons["balancer", number].core
@@ -638,6 +676,25 @@
     wait_until(context, lambda: sorted(core.evacuated) == expected, seconds)
 
 
+def evacuation_news(context, number):
+    return context.daemons["agent", number].core._evacuation_news
+
+
+@then("agent 1 takes its upstream for cold, and agent 2 does not")
+def takes_for_cold(context):
+    wait_until(
+        context, lambda: evacuation_news(context, 1).may_be_cold(math.inf)
+    )
+    assert not evacuation_news(context, 2).may_be_cold(0.0)
+
+
+@then("agent 1 knows that the evacuation has ended")
+def knows_end(context):
+    news = evacuation_news(context, 1)
+    wait_until(context, lambda: not news.may_be_cold(math.inf))
+    assert news.may_be_cold(0.0)
+
+
 @then("{count:d} new flows through balancer {number:d} go to upstreams {hosts}")
 def flows_go_to(context, count, number, hosts):
     first = 6000 + 100 * len(context.caller)
@@ -689,10 +746,13 @@
         start_daemon(context, "balancer", number)
 
 
-@when("the caller sends a request through balancer 3 until it gets a packet")
-def send_until_packet(context):
+@when(
+    "the caller sends a request through balancer {number:d} until it gets a"
+    " packet"
+)
+def send_until_packet(context, number):
     def got_packet():
-        send_request(context, 3)
+        send_request(context, number)
         return context.caller
 
     wait_until(context, got_packet, 10)
--- a/spec/check.py
+++ b/spec/check.py
@@ -103,6 +103,14 @@
     "peers": "",
     "config": "",
 }
+# The same without a balancer that knows the former services for sure.
+NOBODY_KNOWS = {
+    **FORMER_SERVICES,
+    "daemons": """
+        balancer(p; q). versions(2). restart_budget(3).""",
+    "wait": "gives_up.",
+    "all": "asks_all.",
+}
 RECORDS = {
     "agent": "incarnations(3).",
     "condition": "names_revision.",
@@ -118,6 +126,13 @@
     "restart": "assumes_full.",
     "rate": "needs_rate.",
 }
+# The same with an evacuation.
+EVACUATED_WARMUP = {
+    **WARMUP,
+    "end": "may_end(2..4).",
+    "news": "tells_evacuations.",
+    "lift": "",
+}
 # Two offers at a time among three agents; one upstream may die.
 HEDGING = {
     "daemons": "agent(x; y; z). max_offers(2). death_budget(1).",
@@ -166,12 +181,14 @@
     )
 
 
-def _warmup(name: str, broken: dict[str, str]) -> Check:
+def _warmup(
+    name: str, broken: dict[str, str], rules: dict[str, str] = WARMUP
+) -> Check:
     return Check(
         f"too many openings at a cold upstream: {name}",
         "warmup",
         "too_many_openings",
-        WARMUP,
+        rules,
         broken,
     )
 
@@ -312,6 +329,13 @@
         "the flow is newer than the configuration",
         {"config": "reads_no_config."},
     ),
+    Check(
+        "flow of a former service reset: nobody knows the former services",
+        "former_services",
+        "live_flow_reset",
+        NOBODY_KNOWS,
+        {"all": ""},
+    ),
     Check(
         "record of a newer incarnation deleted: the delete has no condition",
         "records",
@@ -333,6 +357,16 @@
     ),
     _warmup("a restarted agent takes its upstream as new", {"restart": ""}),
     _warmup("an agent without a subscription has no limit", {"rate": ""}),
+    _warmup(
+        "an agent learns of the end of an evacuation by heartbeats only",
+        {"news": ""},
+        EVACUATED_WARMUP,
+    ),
+    _warmup(
+        "a heartbeat of before the end lifts the limit",
+        {"lift": "takes_any_heartbeat."},
+        EVACUATED_WARMUP,
+    ),
     Check(
         "request at another upstream: it goes to both without a probe",
         "hedging",
