Keep an old list from adding a removed agent again

While flows are looked up, a balancer reads the list of agents every half second. A list that the store made before the deletion of a record, and that arrives after the watch told of it, added the agent again. Lookups then waited 2.5 s for an agent that had exited, and no later change removed it.

The table now remembers for 30 s the revision in which a record was gone, and ignores records that are not newer.

The new scenario failed before: agent x was known again.

--- a/crocusmux/core/forward/agent_changes.py
+++ b/crocusmux/core/forward/agent_changes.py
@@ -42,6 +42,12 @@
             return []
         return [outputs.Event("agent-removed", b"", f"agent={host}", True)]
 
+    def _remove_gone(self, now: float, host: str, revision: int) -> Outputs:
+        """Removes an agent; see ``AgentTable.remove_gone``."""
+        if not self._agent_table.remove_gone(now, host, revision):
+            return []
+        return [outputs.Event("agent-removed", b"", f"agent={host}", True)]
+
     def on_record_gone(self, now: float, host: str, revision: int) -> Outputs:
         """Removes an agent whose record is gone, unless it still reports.
 
@@ -54,11 +60,11 @@
         """
         upstream = self._agent_table.get(host)
         if upstream is None:
-            return self.remove(host)
+            return self._remove_gone(now, host, revision)
         if revision < upstream.revision:
             return []
         if upstream.report is None or upstream.lost(now):
-            return self.remove(host)
+            return self._remove_gone(now, host, revision)
         known = upstream.gone_at
         upstream.gone_at = max(known, revision)
         if known:
@@ -80,7 +86,7 @@
         ]
         upstream = self._agent_table.get(host)
         if upstream is not None and upstream.gone_at:
-            sent += self.remove(host)
+            sent += self._remove_gone(now, host, upstream.gone_at)
         return sent
 
     def restore(self, now: float, host: str, incarnation: int) -> Outputs:
@@ -96,10 +102,12 @@
 
     def remove_lost(self, now: float) -> Outputs:
         """Removes the agents without a record that count as lost by now."""
+        self._agent_table.forget_removed(now)
         sent: Outputs = []
         for upstream in self._agent_table.all():
             if upstream.gone_at and upstream.lost(now):
-                sent += self.remove(upstream.record.host)
+                host = upstream.record.host
+                sent += self._remove_gone(now, host, upstream.gone_at)
         return sent
 
     def _announce(
--- a/crocusmux/core/forward/agent_table.py
+++ b/crocusmux/core/forward/agent_table.py
@@ -15,6 +15,9 @@
 # recent report.
 MAX_SMALL_DOMAIN_AGENTS = 24
 LARGE_DOMAIN_SHARE = 0.875
+# Time for which an agent that was removed with its record is remembered; longer
+# than a list of records that the store made before takes to arrive.
+REMOVED_TTL_S = 30.0
 
 Usable = Callable[[upstreams.Upstream], bool]
 
@@ -98,6 +101,7 @@
         "_displaced",
         "_failure_domain",
         "_local_count",
+        "_removed",
         "complete",
         "listed_at",
     )
@@ -113,6 +117,9 @@
         self._by_service: dict[str, _Service] = {}
         # Agents whose address another record has, by host.
         self._displaced: dict[str, upstreams.Upstream] = {}
+        # Revision in which the record of a host was gone, and since when that is
+        # known, in order of time.
+        self._removed: dict[str, tuple[int, float]] = {}
 
     def __len__(self) -> int:
         return len(self._by_host)
@@ -145,6 +152,10 @@
             revision < previous.revision or revision < previous.gone_at
         ):
             return None
+        removed_at, _ = self._removed.get(record.host, (0, 0.0))
+        if 0 < revision <= removed_at:
+            # The list is older than the watch that told of the deletion.
+            return None
         displaced = self._displaced.get(record.host)
         if displaced is not None and revision <= displaced.revision:
             return None
@@ -244,6 +255,28 @@
         self._by_service[upstream.record.service].remove(upstream)
         return True
 
+    def remove_gone(self, now: float, host: str, revision: int) -> bool:
+        """Removes an agent whose record is gone, for older lists as well.
+
+        Args:
+            now: Time in seconds.
+            host: Name of the agent's host.
+            revision: Revision of the store in which the record is missing.
+
+        Returns:
+            False if the agent was unknown.
+        """
+        self._removed.pop(host, None)
+        self._removed[host] = revision, now
+        return self.remove(host)
+
+    def forget_removed(self, now: float) -> None:
+        """Forgets agents that were removed ``REMOVED_TTL_S`` ago."""
+        for host, (_, since) in list(self._removed.items()):
+            if now - since < REMOVED_TTL_S:
+                return
+            del self._removed[host]
+
     @property
     def failure_domain(self) -> str:
         """Failure domain of the balancer."""
--- a/features/departed_agents.feature
+++ b/features/departed_agents.feature
@@ -90,6 +90,17 @@
     When agent x withdraws as incarnation 1
     Then it is logged once that agent x has withdrawn
 
+  # Guards against lookups that wait 2.5 s for an agent that has exited: a list of
+  # records that was requested before the deletion arrives after it.
+  Scenario: A list that is older than the deletion does not add the agent again
+    Given a balancer that knows agent x by its record at revision 20
+    When agent x withdraws as incarnation 1
+    And the record of agent x is gone at revision 22
+    And agent x is announced as incarnation 1 at revision 20
+    Then agent x is unknown
+    When agent x is announced as incarnation 2 at revision 23
+    Then exactly x is excluded as no-report
+
   # Guards against an agent that withdrew and displaces, by a late report, the host
   # that has its address now.
   Scenario: A late report does not restore a displaced agent that withdrew
