--- a/crocusmux/core/forward/agent_changes.py
+++ b/crocusmux/core/forward/agent_changes.py
@@ -2,6 +2,7 @@
 
 from crocusmux.core.forward import agent_table
 from crocusmux.core.forward import outputs
+from crocusmux.core.forward import reports
 from crocusmux.core.forward import subscriptions
 from crocusmux.core.forward import upstreams
 
@@ -41,6 +42,12 @@
             return []
         return [outputs.Event("agent-removed", b"", f"agent={host}", True)]
 
+    def _remove_gone(self, now: float, host: str, revision: int) -> Outputs:
+        """Removes an agent; see ``AgentTable.remove_gone``."""
+        if not self._agent_table.remove_gone(now, host, revision):
+            return []
+        return [outputs.Event("agent-removed", b"", f"agent={host}", True)]
+
     def on_record_gone(self, now: float, host: str, revision: int) -> Outputs:
         """Removes an agent whose record is gone, unless it still reports.
 
@@ -53,11 +60,11 @@
         """
         upstream = self._agent_table.get(host)
         if upstream is None:
-            return self.remove(host)
+            return self._remove_gone(now, host, revision)
         if revision < upstream.revision:
             return []
         if upstream.report is None or upstream.lost(now):
-            return self.remove(host)
+            return self._remove_gone(now, host, revision)
         known = upstream.gone_at
         upstream.gone_at = max(known, revision)
         if known:
@@ -65,12 +72,29 @@
         detail = f"agent={host} revision={revision}"
         return self._announce("record-gone", detail, upstream)
 
-    def restore(self, now: float, host: str) -> Outputs:
+    def withdraw(self, now: float, message: reports.Withdrawn) -> Outputs:
+        """Counts an agent that has exited permanently as lost.
+
+        Returns:
+            The event; nothing if the message changes nothing.
+        """
+        host = message.host
+        if not self._agent_table.withdraw(now, host, message.incarnation):
+            return []
+        sent: Outputs = [
+            outputs.Event("agent-withdrawn", b"", f"agent={host}", True)
+        ]
+        upstream = self._agent_table.get(host)
+        if upstream is not None and upstream.gone_at:
+            sent += self._remove_gone(now, host, upstream.gone_at)
+        return sent
+
+    def restore(self, now: float, host: str, incarnation: int) -> Outputs:
         """Restores an agent that reports and whose address was taken.
 
         See ``AgentTable.restore``.
         """
-        upstream = self._agent_table.restore(now, host)
+        upstream = self._agent_table.restore(now, host, incarnation)
         if upstream is None:
             return []
         detail = f"agent={host} service={upstream.record.service}"
@@ -78,10 +102,12 @@
 
     def remove_lost(self, now: float) -> Outputs:
         """Removes the agents without a record that count as lost by now."""
+        self._agent_table.forget_removed(now)
         sent: Outputs = []
         for upstream in self._agent_table.all():
             if upstream.gone_at and upstream.lost(now):
-                sent += self.remove(upstream.record.host)
+                host = upstream.record.host
+                sent += self._remove_gone(now, host, upstream.gone_at)
         return sent
 
     def _announce(
--- a/crocusmux/core/forward/agent_table.py
+++ b/crocusmux/core/forward/agent_table.py
@@ -15,6 +15,9 @@
 # recent report.
 MAX_SMALL_DOMAIN_AGENTS = 24
 LARGE_DOMAIN_SHARE = 0.875
+# Time for which an agent that was removed with its record is remembered; longer
+# than a list of records that the store made before takes to arrive.
+REMOVED_TTL_S = 30.0
 
 Usable = Callable[[upstreams.Upstream], bool]
 
@@ -98,6 +101,7 @@
         "_displaced",
         "_failure_domain",
         "_local_count",
+        "_removed",
         "complete",
         "listed_at",
     )
@@ -113,6 +117,9 @@
         self._by_service: dict[str, _Service] = {}
         # Agents whose address another record has, by host.
         self._displaced: dict[str, upstreams.Upstream] = {}
+        # Revision in which the record of a host was gone, and since when that is
+        # known, in order of time.
+        self._removed: dict[str, tuple[int, float]] = {}
 
     def __len__(self) -> int:
         return len(self._by_host)
@@ -145,6 +152,10 @@
             revision < previous.revision or revision < previous.gone_at
         ):
             return None
+        removed_at, _ = self._removed.get(record.host, (0, 0.0))
+        if 0 < revision <= removed_at:
+            # The list is older than the watch that told of the deletion.
+            return None
         displaced = self._displaced.get(record.host)
         if displaced is not None and revision <= displaced.revision:
             return None
@@ -156,7 +167,13 @@
         ):
             self._displaced[record.host] = upstream
             return None
-        if previous is not None and previous.record.same_agent(record):
+        if (
+            previous is not None
+            and previous.record.same_agent(record)
+            and previous.withdrawn_incarnation in (None, record.incarnation)
+        ):
+            if previous.record.incarnation != record.incarnation:
+                previous.record_is_newer = True
             previous.record = record
             previous.revision = revision
             previous.gone_at = 0
@@ -178,7 +195,28 @@
         service = self._by_service.setdefault(record.service, _Service())
         service.add(upstream)
 
-    def restore(self, now: float, host: str) -> upstreams.Upstream | None:
+    def withdraw(self, now: float, host: str, incarnation: int) -> bool:
+        """Records that an agent has exited permanently.
+
+        A displaced agent is not restored by a late report of that incarnation.
+
+        Returns:
+            False if the agent is unknown, another incarnation may be newer, or
+            this is known.
+        """
+        upstream = self._by_host.get(host) or self._displaced.get(host)
+        if (
+            upstream is None
+            or upstream.withdrawn_incarnation is not None
+            or not upstream.is_newest(now, incarnation)
+        ):
+            return False
+        upstream.withdrawn_incarnation = incarnation
+        return True
+
+    def restore(
+        self, now: float, host: str, incarnation: int
+    ) -> upstreams.Upstream | None:
         """Restores a displaced agent that reports from its address.
 
         The store may apply the write of a host that is gone after the address
@@ -188,13 +226,14 @@
         Args:
             now: Time in seconds.
             host: Host of an agent that has reported.
+            incarnation: Incarnation that has reported.
 
         Returns:
-            The agent; None if it was not displaced, or if the agent that has
-            its address now reports as well.
+            The agent; None if it was not displaced, if this incarnation has
+            withdrawn, or if the agent that has its address now reports as well.
         """
         upstream = self._displaced.get(host)
-        if upstream is None:
+        if upstream is None or upstream.withdrawn_incarnation == incarnation:
             return None
         known = self._by_host.get(
             self._by_address.get(upstream.record.address, "")
@@ -216,6 +255,28 @@
         self._by_service[upstream.record.service].remove(upstream)
         return True
 
+    def remove_gone(self, now: float, host: str, revision: int) -> bool:
+        """Removes an agent whose record is gone, for older lists as well.
+
+        Args:
+            now: Time in seconds.
+            host: Name of the agent's host.
+            revision: Revision of the store in which the record is missing.
+
+        Returns:
+            False if the agent was unknown.
+        """
+        self._removed.pop(host, None)
+        self._removed[host] = revision, now
+        return self.remove(host)
+
+    def forget_removed(self, now: float) -> None:
+        """Forgets agents that were removed ``REMOVED_TTL_S`` ago."""
+        for host, (_, since) in list(self._removed.items()):
+            if now - since < REMOVED_TTL_S:
+                return
+            del self._removed[host]
+
     @property
     def failure_domain(self) -> str:
         """Failure domain of the balancer."""
@@ -261,15 +322,19 @@
         """Records a load report.
 
         Returns:
-            False if the agent is unknown, its record names another service, or
-            a newer report was recorded.
+            False if the agent is unknown or has withdrawn, its record names
+            another service, or a newer report was recorded.
         """
         upstream = self._by_host.get(report.host)
         if upstream is None:
             return False
+        if upstream.withdrawn_incarnation == report.incarnation:
+            return False
         upstream.reporting_incarnation = report.incarnation
+        upstream.record_is_newer = False
         if upstream.record.service != report.service:
             return False
+        upstream.withdrawn_incarnation = None
         previous = upstream.report
         if (
             previous is not None
--- a/spec/check.py
+++ b/spec/check.py
@@ -30,6 +30,7 @@
     "former_services": 14,
     "records": 12,
     "warmup": 10,
+    "withdrawals": 12,
     "hedging": 20,
 }
 
@@ -116,6 +117,12 @@
     "condition": "names_revision.",
     "record": "names_incarnation.",
 }
+WITHDRAWALS = {
+    "agent": "incarnations(3).",
+    "restart": "",
+    "incarnation": "",
+    "record": "",
+}
 # Two balancers, five flows, and a rate that rises and falls.
 WARMUP = {
     "daemons": """
@@ -193,6 +200,16 @@
     )
 
 
+def _withdrawals(name: str, broken: dict[str, str]) -> Check:
+    return Check(
+        f"live flow reset: {name}",
+        "withdrawals",
+        "live_flow_reset",
+        WITHDRAWALS,
+        broken,
+    )
+
+
 CHECKS = (
     _ownership(
         "ran twice: one answer too few",
@@ -350,6 +367,18 @@
         RECORDS,
         {"record": ""},
     ),
+    _withdrawals(
+        "an agent withdraws at a planned restart",
+        {"restart": "sends_at_restart."},
+    ),
+    _withdrawals(
+        "a late message of a former incarnation counts",
+        {"incarnation": "ignores_incarnation."},
+    ),
+    _withdrawals(
+        "a new incarnation counts as withdrawn until it reports",
+        {"record": "keeps_withdrawn."},
+    ),
     _warmup("each balancer limits by itself", {"limit": "balancers_limit."}),
     _warmup(
         "a retransmission counts as admitted",
