Ask agents for a report once their record was deleted

Cause: a balancer kept an agent that had withdrawn and ended until 6 report intervals had passed, or 4 s after a report was due.

Change: liveness.Liveness asks such an agent for a report at once and every 0.25 s until its record is back, and counts it as lost if 3 requests stay unanswered and 1 s has passed since the first of them (event agent-unresponsive). The deleted record must be that of the incarnation that reports: otherwise a late deletion would reset the flows of an agent that restarts at that moment. At most 320 requests a second leave a balancer.

A balancer whose timer did not run for 0.5 s takes it that it was suspended, and starts all waits anew. Before, it counted agents as lost when it was resumed.

Changed tests: - agent_records.feature, "A balancer keeps an agent that reports although its record is gone" held the former rule (kept for 3 s of silence, dropped after 5 s). It now has the limits 0.75 s and 1.25 s; a second scenario has the former ones for a record of another incarnation. - The step "agents a, b, c report and N s pass" jumped by 1.6 s, which now counts as a suspension. It runs the timer meanwhile; the assertions stay.

--- a/crocusmux/core/forward/agent_changes.py
+++ b/crocusmux/core/forward/agent_changes.py
@@ -1,6 +1,7 @@
 """Changes of a balancer's agents, with their events and subscriptions."""
 
 from crocusmux.core.forward import agent_table
+from crocusmux.core.forward import liveness
 from crocusmux.core.forward import outputs
 from crocusmux.core.forward import subscriptions
 from crocusmux.core.forward import upstreams
@@ -11,16 +12,18 @@
 class AgentChanges:
     """Adds and removes the agents of a balancer by their records."""
 
-    __slots__ = ("_agent_table", "_subscriptions")
+    __slots__ = ("_agent_table", "_liveness", "_subscriptions")
 
     def __init__(
         self,
         agents: agent_table.AgentTable,
         schedule: subscriptions.Subscriptions,
+        monitor: liveness.Liveness,
     ) -> None:
         """Changes a table, and subscribes to the agents that it adds."""
         self._agent_table = agents
         self._subscriptions = schedule
+        self._liveness = monitor
 
     def add(
         self, now: float, record: upstreams.AgentRecord, revision: int
@@ -44,7 +47,8 @@
     def on_record_gone(self, now: float, host: str, revision: int) -> Outputs:
         """Removes an agent whose record is gone, unless it still reports.
 
-        An agent that reports is told, and kept until it counts as lost.
+        An agent that reports is told and asked for a report, and is kept until
+        it counts as lost.
 
         Args:
             now: Time in seconds.
@@ -63,7 +67,9 @@
         if known:
             return []
         detail = f"agent={host} revision={revision}"
-        return self._announce("record-gone", detail, upstream)
+        self._liveness.on_record_gone(upstream)
+        upstream.record_request(now)
+        return self._announce("record-gone", detail, upstream, report_now=True)
 
     def restore(self, now: float, host: str) -> Outputs:
         """Restores an agent that reports and whose address was taken.
@@ -85,10 +91,14 @@
         return sent
 
     def _announce(
-        self, what: str, detail: str, upstream: upstreams.Upstream
+        self,
+        what: str,
+        detail: str,
+        upstream: upstreams.Upstream,
+        report_now: bool = False,
     ) -> Outputs:
         """Returns an event, and a subscription to the agent."""
         return [
             outputs.Event(what, b"", detail, True),
-            *self._subscriptions.make([upstream]),
+            *self._subscriptions.make([upstream], report_now),
         ]
--- a/crocusmux/core/forward/balancer.py
+++ b/crocusmux/core/forward/balancer.py
@@ -9,6 +9,7 @@
 from crocusmux.core.forward import explanation
 from crocusmux.core.forward import flow_table
 from crocusmux.core.forward import holder_resolver
+from crocusmux.core.forward import liveness
 from crocusmux.core.forward import outputs
 from crocusmux.core.forward import placement
 from crocusmux.core.forward import reports
@@ -90,8 +91,9 @@
         self._subscriptions = subscriptions.Subscriptions(
             host, address, config_source, self.agent_table, self.routes
         )
+        self._liveness = liveness.Liveness(self.agent_table)
         self._agent_changes = agent_changes.AgentChanges(
-            self.agent_table, self._subscriptions
+            self.agent_table, self._subscriptions, self._liveness
         )
         self._next_expiry_at = 0.0
 
@@ -129,6 +131,7 @@
 
         The arguments are those of ``AgentChanges.on_record_gone``.
         """
+        self._liveness.check_suspension(now)
         return self._agent_changes.on_record_gone(now, host, revision)
 
     def update_evacuations(
@@ -188,6 +191,7 @@
 
     def on_segment(self, now: float, seg: segments.Segment) -> Outputs:
         """Forwards, queues or refuses a caller's segment."""
+        self._liveness.check_suspension(now)
         flow = self.flows.get(seg.key)
         if flow is not None:
             flow.last_segment_at = now
@@ -245,14 +249,24 @@
 
     def on_message(self, now: float, message: reports.Message) -> Outputs:
         """Applies an agent's message, and sends flow queries that are due."""
+        self._liveness.check_suspension(now)
         return self._dispatch(now, message) + self._resolver.send_queries(now)
 
     def _dispatch(self, now: float, message: reports.Message) -> Outputs:
         if isinstance(message, reports.LoadReport | reports.CompactReport):
             sent = self._agent_changes.restore(now, message.host)
+            self._liveness.on_message(now, message.host)
             if isinstance(message, reports.CompactReport):
                 message = self._expand(message)
             return sent + self._on_report(now, message)
+        if isinstance(
+            message,
+            reports.OpeningDeclined
+            | reports.FlowClaimed
+            | reports.FlowDenied
+            | reports.FlowQueryReply,
+        ):
+            self._liveness.on_message(now, message.host)
         if isinstance(message, reports.OpeningDeclined):
             return self._placement.on_declined(now, message)
         if isinstance(message, reports.FlowClaimed):
@@ -298,7 +312,12 @@
         """
         if wall_time is not None:
             self._placement.openings.wall_offset_s = wall_time - now
+        self._liveness.check_suspension(now)
         sent: Outputs = [*self._subscriptions.pop_due(now)]
+        sent += self._subscriptions.make(
+            self._liveness.pop_due(now), report_now=True
+        )
+        sent += self._drop_unresponsive(now)
         if now >= self._next_expiry_at:
             self._next_expiry_at = now + EXPIRY_INTERVAL_S
             idle_s = self.routes.idle_s + IDLE_SLACK_S
@@ -307,3 +326,20 @@
         sent += self._resolver.on_timer(now)
         sent += self._placement.on_timer(now)
         return sent
+
+    def _drop_unresponsive(self, now: float) -> Outputs:
+        """Counts agents that answer no requests as lost."""
+        marked = self._liveness.mark_lost(now)
+        if not marked:
+            return []
+        sent: Outputs = []
+        for upstream in marked:
+            detail = (
+                f"agent={upstream.record.host}"
+                f" requests={upstream.unanswered_requests}"
+                f" silent_s={now - upstream.heard_at:.2f}"
+            )
+            event = outputs.Event("agent-unresponsive", b"", detail, True)
+            sent.append(event)
+        self._resolver.hasten()
+        return sent + self._agent_changes.remove_lost(now)
--- a/crocusmux/core/forward/holder_lookup.py
+++ b/crocusmux/core/forward/holder_lookup.py
@@ -89,6 +89,10 @@
         """Returns True if the next round may begin."""
         return now - self.queried_at >= self._timeout_s
 
+    def hasten(self) -> None:
+        """Ends the backoff of rounds without a reply."""
+        self._timeout_s = ROUND_TIMEOUT_S
+
     def between_searches(self) -> bool:
         """Returns True if all agents denied the first search."""
         return self.searches > 0 and self._rounds == 0
--- a/crocusmux/core/forward/holder_resolver.py
+++ b/crocusmux/core/forward/holder_resolver.py
@@ -113,6 +113,12 @@
                 sent += self._query_round(now, lookup)
         return sent + self.send_queries(now)
 
+    def hasten(self) -> None:
+        """Lets all lookups go on at the next timer, as agents were lost."""
+        for flow in self._lookups.values():
+            if flow.lookup is not None:
+                flow.lookup.hasten()
+
     def send_queries(self, now: float) -> Outputs:
         """Sends the pending flow queries if the rate limit allows it."""
         sent: Outputs = []
--- a/crocusmux/core/forward/upstreams.py
+++ b/crocusmux/core/forward/upstreams.py
@@ -131,20 +131,38 @@
         avoided: True if, since that report, an opening was not answered or was
             declined because of the upstream's state.
         backoff_until: Time until which no new flows are offered, seconds.
+        heard_at: Time of the agent's last message of any kind, seconds;
+            negative infinity before.
+        resumed_at: Time at which the balancer was last resumed after a
+            suspension, seconds; negative infinity if it never was.
+        unanswered_since: Time of the first query or request since the agent's
+            last message, seconds; None if there is none.
+        unanswered_requests: Requests for a report since that message.
+        first_request_at: Time of the first of these requests, seconds.
+        requested_at: Time of the last request, seconds.
+        unresponsive: True if the agent counts as lost, as it answered no
+            requests; until its next message.
     """
 
     __slots__ = (
         "added_at",
         "avoided",
         "backoff_until",
+        "first_request_at",
         "gone_at",
+        "heard_at",
         "record",
         "report",
         "reported_at",
         "reporting_incarnation",
+        "requested_at",
+        "resumed_at",
         "revision",
         "tag",
+        "unanswered_requests",
+        "unanswered_since",
         "unreported_offers",
+        "unresponsive",
     )
 
     def __init__(
@@ -161,6 +179,33 @@
         self.unreported_offers = 0
         self.avoided = False
         self.backoff_until = float("-inf")
+        self.heard_at = float("-inf")
+        self.resumed_at = float("-inf")
+        self.unanswered_since: float | None = None
+        self.unanswered_requests = 0
+        self.first_request_at = float("-inf")
+        self.requested_at = float("-inf")
+        self.unresponsive = False
+
+    def record_message(self, now: float) -> None:
+        """Records a message, which answers all queries and requests."""
+        self.heard_at = now
+        self.unresponsive = False
+        self.clear_requests()
+
+    def clear_requests(self) -> None:
+        """Forgets which queries and requests were not answered."""
+        self.unanswered_since = None
+        self.unanswered_requests = 0
+
+    def record_request(self, now: float) -> None:
+        """Records a request for a report."""
+        self.requested_at = now
+        if not self.unanswered_requests:
+            self.first_request_at = now
+        self.unanswered_requests += 1
+        if self.unanswered_since is None:
+            self.unanswered_since = now
 
     def announced_at(self) -> int:
         """Returns the revision that orders the records of one address.
@@ -186,11 +231,12 @@
         return now - self.reported_at
 
     def silent_for_s(self, now: float) -> float:
-        """Returns the time since the last report, or since the agent is known.
+        """Returns the time for which the balancer has waited for a report.
 
-        In seconds.
+        In seconds, since the last report, since the agent is known, or since
+        the balancer was resumed.
         """
-        return now - max(self.reported_at, self.added_at)
+        return now - max(self.reported_at, self.added_at, self.resumed_at)
 
     def silent(self, now: float) -> bool:
         """Returns True if several reports are missing."""
@@ -214,14 +260,17 @@
 
     def lost(self, now: float) -> bool:
         """Returns True if the agent is silent for too long to be alive."""
+        if self.unresponsive:
+            return True
+        silent_s = now - max(self.reported_at, self.heard_at, self.resumed_at)
         if self.report is None:
-            return now - self.added_at > FIRST_REPORT_TIMEOUT_S
+            return min(silent_s, now - self.added_at) > FIRST_REPORT_TIMEOUT_S
         interval_s = self.report.interval_s
         limit_s = min(
             LOST_INTERVALS * interval_s,
             OVERDUE_INTERVALS * interval_s + MAX_OVERDUE_UNTIL_LOST_S,
         )
-        return self.report_age_s(now) > max(MIN_LOST_S, limit_s)
+        return silent_s > max(MIN_LOST_S, limit_s)
 
     def back_off(self, now: float, seconds: float) -> None:
         """Offers no new flows for a time; a longer pause stays in force."""
--- a/crocusmux/flow_trace.py
+++ b/crocusmux/flow_trace.py
@@ -21,6 +21,7 @@
         "agent-added",
         "agent-removed",
         "agent-state",
+        "agent-unresponsive",
         "configure",
         "evacuate",
         "evacuation-ended",
--- a/features/agent_records.feature
+++ b/features/agent_records.feature
@@ -7,6 +7,18 @@
     When the record of agent x is gone at revision 12
     Then the balancer tells agent x that its record was lost at revision 12
     And agent x gets new flows
+    When 0.75 s pass without a report of agent x
+    Then the balancer knows agent x
+    When 0.5 s pass without a report of agent x
+    Then the balancer does not know agent x
+
+  # Guards against fault FLOW (a): the deleted record was that of another run of the
+  # agent, and the one that reports is silent while it restarts.
+  Scenario: A balancer keeps an agent whose record of another run is gone
+    Given a balancer that knows agent x by its record at revision 10
+    When a former run of agent x, of rounds, is listed at revision 12
+    And the record of agent x is gone at revision 13
+    Then the balancer tells agent x that its record was lost at revision 13
     When 3 s pass without a report of agent x
     Then the balancer knows agent x
     When 2 s pass without a report of agent x
--- /dev/null
+++ b/features/silent_agents.feature
@@ -0,0 +1,73 @@
+Feature: Agents that do not reply count as lost soon, and only they do
+
+  # Guards against callers that wait for an agent which withdrew and ended: it was
+  # kept until 6 of its intervals, or 4 s after a report was due (karoo-lic-grown,
+  # trouble-1, 36 to 42 s: resets after 8 to 10 s).
+  Scenario Outline: An agent that ends after its record was deleted is lost soon
+    Given 12 agents that report every <interval> s
+    When agent a1 ends and its record is deleted
+    And a caller sends on a flow that no upstream holds
+    And 2.5 s pass at the balancer
+    Then agent a1 was asked for a report 3 times or more
+    And the caller was reset within 1.4 s
+    And the balancer has dropped agent a1
+
+    Examples:
+      | interval |
+      | 0.25     |
+      | 3.4      |
+
+  # Guards against an agent that answers the first request, as it has not exited
+  # yet, and is not asked again.  The bound is the interval of the requests, 1 s,
+  # and two searches.
+  Scenario: An agent that ends some time after its record was deleted is lost soon
+    Given 12 agents that report every 3.4 s
+    When the record of agent a1 is deleted
+    And 0.6 s pass at the balancer
+    And agent a1 ends
+    And a caller sends on a flow that no upstream holds
+    And 2.5 s pass at the balancer
+    Then the caller was reset within 1.5 s
+
+  # Guards against fault FLOW (a): a late deletion by a former incarnation removed
+  # the record of an agent that lives.
+  Scenario: An agent that answers is kept although its record was deleted
+    Given 12 agents that report every 3.4 s
+    When the record of agent a1 is deleted
+    And a caller sends on a flow that agent a1 holds
+    And 8 s pass at the balancer
+    Then the caller was answered
+    And the balancer knows all agents
+
+  # Guards against fault FLOW (a): the record of a former incarnation is deleted
+  # late, while the agent that reports restarts.
+  Scenario: The deletion of a former incarnation's record proves nothing
+    Given 12 agents that report every 0.25 s
+    When agent a1 is of a newer incarnation than its record
+    And agent a1 ends and its record is deleted
+    And a caller sends on a flow that agent a1 holds
+    And 3.5 s pass at the balancer
+    And agent a1 starts again
+    And 2 s pass at the balancer
+    Then the caller was answered
+
+  # Guards against fault FLOW (a): the balancer was suspended for longer than an
+  # agent may be silent, and counted all agents as lost when it was resumed.
+  Scenario Outline: A balancer that was suspended counts no running agent as lost
+    Given 12 agents that report every <interval> s
+    When 1 s pass at the balancer
+    And the record of agent a2 is deleted
+    And the balancer is suspended for <seconds> s
+    And agent a1 ends
+    And a caller sends on a flow that agent a1 holds
+    And 3.5 s pass at the balancer
+    And agent a1 starts again
+    And 2 s pass at the balancer
+    Then the caller was answered
+    And the balancer knows all agents
+
+    Examples:
+      | interval | seconds |
+      | 0.25     | 3       |
+      | 0.25     | 30      |
+      | 3.4      | 30      |
--- a/features/steps/agent_records_steps.py
+++ b/features/steps/agent_records_steps.py
@@ -103,7 +103,7 @@
     assert len(told) >= count and set(told) == {revision}, told
 
 
-@when("{seconds:d} s pass without a report of agent x")
+@when("{seconds:g} s pass without a report of agent x")
 def x_is_silent(context, seconds):
     let_time_pass(context, seconds, "abcd")
 
--- a/features/steps/holder_lookup_steps.py
+++ b/features/steps/holder_lookup_steps.py
@@ -340,7 +340,12 @@
 
 @when("agents a, b, c report and {seconds:g} s pass")
 def report_and_pass(context, seconds):
-    context.now += seconds
+    # The timer runs meanwhile, as after a longer gap the balancer takes it that
+    # it was suspended.
+    for _ in range(4):
+        context.now += seconds / 4
+        outs = context.core.on_timer(context.now)
+        balancer_sample.read_lists(context, outs)
     balancer_sample.report_all(context, "abc")
     seg = balancer_sample.segment(context.key, ack=77_000, length=100)
     context.outs = context.core.on_segment(context.now, seg)
--- /dev/null
+++ b/features/steps/silent_agents_steps.py
@@ -0,0 +1,96 @@
+from behave import given
+from behave import then
+from behave import when
+
+from features import agent_standins
+from features import balancer_sample
+
+
+@given("{count:d} agents that report every {interval_s:g} s")
+def start_fleet(context, count, interval_s):
+    balancer_sample.start(context)
+    context.fleet = agent_standins.Fleet(context.core, context.now)
+    for number in range(1, count + 1):
+        context.fleet.add(f"a{number}", number, interval_s)
+    context.core.agent_table.record_list(context.now)
+    context.fleet.run(2 * interval_s)
+    context.fleet.requests.clear()
+
+
+@when("agent {host:w} ends and its record is deleted")
+def end_with_record(context, host):
+    end_agent(context, host)
+    delete_record(context, host)
+
+
+@when("agent {host:w} ends")
+def end_agent(context, host):
+    context.fleet.agents[host].running = False
+
+
+@when("agent {host:w} starts again")
+def start_again(context, host):
+    context.fleet.agents[host].restart()
+
+
+@when("the record of agent {host:w} is deleted")
+def delete_record(context, host):
+    fleet = context.fleet
+    fleet.execute(context.core.on_record_gone(fleet.now, host, 12))
+
+
+@when("agent {host:w} is of a newer incarnation than its record")
+def newer_incarnation(context, host):
+    context.fleet.agents[host].incarnation += 1
+    context.fleet.run(0.5)
+
+
+@when("a caller sends on a flow that no upstream holds")
+def send_on_lost_flow(context):
+    context.key = balancer_sample.flow_key(42_000 + len(context.fleet.callers))
+    context.fleet.call(context.key)
+
+
+@when("a caller sends on a flow that agent {host:w} holds")
+def send_on_held_flow(context, host):
+    send_on_lost_flow(context)
+    context.fleet.agents[host].held.add(context.key)
+
+
+@when("{seconds:g} s pass at the balancer")
+def pass_time(context, seconds):
+    context.fleet.run(seconds)
+
+
+@when("the balancer is suspended for {seconds:g} s")
+def suspend(context, seconds):
+    context.fleet.skip(seconds)
+
+
+@then("agent {host:w} was asked for a report {count:d} times or more")
+def check_requests(context, host, count):
+    times = context.fleet.requests.get(host, [])
+    assert len(times) >= count, times
+
+
+@then("the caller was reset within {limit:g} s")
+def check_reset(context, limit):
+    caller = context.fleet.callers[context.key]
+    assert caller.ended == "reset", caller.ended
+    waited = caller.ended_at - caller.sent_at
+    assert waited <= limit, waited
+
+
+@then("the caller was answered")
+def check_answered(context):
+    assert context.fleet.callers[context.key].ended == "answer"
+
+
+@then("the balancer has dropped agent {host:w}")
+def check_dropped(context, host):
+    assert host not in context.core.agent_table.hosts()
+
+
+@then("the balancer knows all agents")
+def check_all_known(context):
+    assert context.core.agent_table.hosts() == set(context.fleet.agents)
