Read the list of agents sooner for lost flows

Cause: a lookup that all agents have denied waits for a list of agents that was requested after it began. The list was read every 0.5 s at most, and a lookup noticed a new list only at its next round, so a goal of 0.277 s was missed.

Change: the interval is 0.25 s. After 5 reads within 4 s it is 0.5 s, and there are at most 10 reads in any 4 s: with 0.25 s until the tenth read, the next one would be 1.75 s later. The timer requests the list once the interval has passed and ends the lookups that wait for it, without a further round.

--- a/crocusmux/core/forward/holder_resolver.py
+++ b/crocusmux/core/forward/holder_resolver.py
@@ -1,5 +1,6 @@
 """Resolves the holders of flows that a balancer does not know."""
 
+import collections
 from collections.abc import Container, Iterable
 
 from crocusmux.core.forward import agent_table
@@ -14,8 +15,15 @@
 
 # Interval between two probes of an assumed holder, as its claim may get lost.
 PROBE_INTERVAL_S = 0.2
-# Minimum interval between reads of the list of agents because of denials.
-LIST_INTERVAL_S = 0.5
+# Minimum interval between reads of the list of agents because of denials.  A
+# lookup waits for a read, and goals of answers begin at 0.25 s.
+LIST_INTERVAL_S = 0.25
+# The same after LIST_BURST reads within LIST_PERIOD_S, so that at most
+# MAX_LISTS are read in any such period, and none waits for 1 s or longer.
+BUSY_LIST_INTERVAL_S = 0.5
+LIST_BURST = 5
+LIST_PERIOD_S = 4.0
+MAX_LISTS = 10
 # The same for flows whose callers send no data: nothing is reset for them, and a
 # caller that closes a lost flow retransmits for many seconds.
 NO_DATA_LIST_INTERVAL_S = 5.0
@@ -39,7 +47,8 @@
         "_agent_table",
         "_evacuated",
         "_flows",
-        "_listing_began_at",
+        "_list_wanted",
+        "_lists_began_at",
         "_lookups",
         "_lost_share",
         "_queries",
@@ -68,7 +77,11 @@
         self._evacuated = evacuated
         self._lookups: dict[bytes, flow_table.Flow] = {}
         self._queries = flow_queries.FlowQueries()
-        self._listing_began_at = float("-inf")
+        # True if a flow with data waits for the interval between two reads.
+        self._list_wanted = False
+        self._lists_began_at: collections.deque[float] = collections.deque(
+            maxlen=MAX_LISTS
+        )
         self._lost_share = 0.0
 
     def resolve(
@@ -101,14 +114,18 @@
         """Starts the rounds of lookups that are due, and drops idle lookups."""
         sent: Outputs = []
         self._queries.expire(now)
+        if self._list_wanted and self._may_list(now, has_data=True):
+            sent += self._read_list(now)
+        listed_at = self._agent_table.listed_at
         # Queries that were not answered are not repeated while others wait.
         may_repeat = not self._queries.has_pending()
         for key, flow in list(self._lookups.items()):
             lookup = flow.lookup
             if lookup is None or lookup.caller_idle(now):
                 del self._lookups[key]
-            elif lookup.round_due(now) and (
-                may_repeat or lookup.between_searches()
+            elif lookup.proves_loss(listed_at) or (
+                lookup.round_due(now)
+                and (may_repeat or lookup.between_searches())
             ):
                 sent += self._query_round(now, lookup)
         return sent + self.send_queries(now)
@@ -243,17 +260,33 @@
         awaited = self._routes.awaits_former_services
         if lookup.proves_loss(listed_at) and not awaited:
             return self._on_flow_lost(lookup.probe_segment.key, "denied-by-all")
-        interval_s = NO_DATA_LIST_INTERVAL_S
-        if lookup.probe_segment.length:
-            interval_s = LIST_INTERVAL_S
-        if (
-            listed_at >= lookup.began_at
-            or now - self._listing_began_at < interval_s
-        ):
+        has_data = lookup.probe_segment.length > 0
+        if listed_at >= lookup.began_at:
             return []
-        self._listing_began_at = now
+        if self._may_list(now, has_data):
+            return self._read_list(now)
+        if has_data and self._lists_began_at[-1] < lookup.began_at:
+            self._list_wanted = True
+        return []
+
+    def _read_list(self, now: float) -> Outputs:
+        self._list_wanted = False
+        self._lists_began_at.append(now)
         return [outputs.ListAgents()]
 
+    def _may_list(self, now: float, has_data: bool) -> bool:
+        """Returns True if the list of agents may be read for a flow."""
+        began_at = self._lists_began_at
+        if not began_at:
+            return True
+        recent = sum(now - time < LIST_PERIOD_S for time in began_at)
+        interval_s = LIST_INTERVAL_S
+        if not has_data:
+            interval_s = NO_DATA_LIST_INTERVAL_S
+        elif recent >= LIST_BURST:
+            interval_s = BUSY_LIST_INTERVAL_S
+        return recent < MAX_LISTS and now - began_at[-1] >= interval_s
+
     def _query_round(
         self, now: float, lookup: holder_lookup.HolderLookup
     ) -> Outputs:
--- a/features/agent_standins.py
+++ b/features/agent_standins.py
@@ -156,6 +156,8 @@
         for key, caller in self.callers.items():
             if caller.ended or self.now < caller.next_at or self.suspended:
                 continue
+            if caller.wait_s == RETRANSMIT_S:
+                caller.sent_at = self.now
             caller.next_at = self.now + caller.wait_s
             caller.wait_s = min(2 * caller.wait_s, MAX_RETRANSMIT_S)
             seg = balancer_sample.segment(key, ack=77_000, length=100)
--- a/features/silent_agents.feature
+++ b/features/silent_agents.feature
@@ -71,3 +71,21 @@
       | 0.25     | 3       |
       | 0.25     | 30      |
       | 3.4      | 30      |
+
+  # Guards against a wait of up to 0.5 s for the list of agents, which alone uses up
+  # a goal of 0.277 s.
+  Scenario: The list of agents is read soon for a second lost flow
+    Given 12 agents that report every 3.4 s
+    When a caller sends on a flow that no upstream holds
+    And 0.15 s pass at the balancer
+    And a caller sends on a flow that no upstream holds
+    And 2 s pass at the balancer
+    Then the caller was reset within 0.277 s
+
+  # Guards against a call to the store for each lost flow, and against callers that
+  # wait for seconds once the calls are used up.
+  Scenario: The list of agents is read at most 10 times in 4 s
+    Given 12 agents that report every 3.4 s
+    When callers send on lost flows every 0.15 s for 20 s
+    Then in any 4 s the list of agents was read at most 10 times
+    And all callers were reset within 0.75 s
--- a/features/steps/silent_agents_steps.py
+++ b/features/steps/silent_agents_steps.py
@@ -94,3 +94,32 @@
 @then("the balancer knows all agents")
 def check_all_known(context):
     assert context.core.agent_table.hosts() == set(context.fleet.agents)
+
+
+@when("callers send on lost flows every {interval_s:g} s for {seconds:g} s")
+def send_on_lost_flows(context, interval_s, seconds):
+    for _ in range(round(seconds / interval_s)):
+        send_on_lost_flow(context)
+        context.fleet.run(interval_s)
+    context.fleet.run(2.0)
+
+
+@then(
+    "in any {seconds:g} s the list of agents was read at most {count:d} times"
+)
+def check_lists(context, seconds, count):
+    times = context.fleet.lists
+    most = max(
+        sum(start <= time < start + seconds for time in times)
+        for start in times
+    )
+    assert 0 < most <= count, most
+
+
+@then("all callers were reset within {limit:g} s")
+def check_all_reset(context, limit):
+    for caller in context.fleet.callers.values():
+        assert caller.ended == "reset", caller.ended
+        assert caller.ended_at - caller.sent_at <= limit, (
+            caller.ended_at - caller.sent_at
+        )
