Ask agents that do not reply to queries, and count them as lost sooner

Cause: where reports come every 3.4 s, an agent was asked for a report only 5.1 s after its last one, and counted as lost 4 s later. Until then no flow was reset (8 of 109 agents silent: half of the callers waited 5.6 s, 99 of 100 waited 8.0 s).

Change: an agent that leaves a flow query unanswered for 0.12 s is asked for a report every 0.25 s. It counts as lost once it has left 4 requests unanswered, and the first query or request for 4.25 s. Any message answers them all. A balancer that hears from less than half of the agents that it heard from before, or to whose requests more than half do not reply, keeps to the former limits.

Tests: of the new scenarios in silent_agents.feature, "is asked for a report at once" and "No caller of a lost flow waits longer than 5 s" (interval 3.4 s) failed before, and so did "wait 5 s at most for silent hosts" in lookups.feature (8.17 s).

--- a/crocusmux/core/forward/balancer.py
+++ b/crocusmux/core/forward/balancer.py
@@ -85,13 +85,17 @@
             assume_mean=detect_outliers,
             fair_queueing=fair_queueing,
         )
+        self._liveness = liveness.Liveness(self.agent_table)
         self._resolver = holder_resolver.HolderResolver(
-            self.routes, self.agent_table, self.flows, self.evacuated
+            self.routes,
+            self.agent_table,
+            self.flows,
+            self.evacuated,
+            self._liveness,
         )
         self._subscriptions = subscriptions.Subscriptions(
             host, address, config_source, self.agent_table, self.routes
         )
-        self._liveness = liveness.Liveness(self.agent_table)
         self._agent_changes = agent_changes.AgentChanges(
             self.agent_table, self._subscriptions, self._liveness
         )
--- a/crocusmux/core/forward/holder_resolver.py
+++ b/crocusmux/core/forward/holder_resolver.py
@@ -7,6 +7,7 @@
 from crocusmux.core.forward import flow_queries
 from crocusmux.core.forward import flow_table
 from crocusmux.core.forward import holder_lookup
+from crocusmux.core.forward import liveness
 from crocusmux.core.forward import outputs
 from crocusmux.core.forward import reports
 from crocusmux.core.forward import routes
@@ -49,6 +50,7 @@
         "_flows",
         "_list_wanted",
         "_lists_began_at",
+        "_liveness",
         "_lookups",
         "_lost_share",
         "_queries",
@@ -61,6 +63,7 @@
         agents: agent_table.AgentTable,
         flows: flow_table.FlowTable,
         evacuated: Container[str],
+        monitor: liveness.Liveness,
     ) -> None:
         """Creates a resolver without lookups.
 
@@ -70,11 +73,13 @@
             flows: Connection tracking of the balancer.
             evacuated: Failure domains whose upstreams get no openings, not even
                 late duplicates; all other segments of open flows reach them.
+            monitor: Gets the queries, and finds agents that do not reply.
         """
         self._routes = route_table
         self._agent_table = agents
         self._flows = flows
         self._evacuated = evacuated
+        self._liveness = monitor
         self._lookups: dict[bytes, flow_table.Flow] = {}
         self._queries = flow_queries.FlowQueries()
         # True if a flow with data waits for the interval between two reads.
@@ -144,6 +149,7 @@
         for host, number, flows in self._queries.take_pending(now):
             upstream = self._agent_table.get(host)
             if upstream is not None:
+                self._liveness.on_query(now, upstream)
                 query = reports.FlowQuery(number, upstream.tag, flows)
                 sent.append(outputs.ToPeer(upstream.record.control, query))
         return sent
--- a/crocusmux/core/forward/liveness.py
+++ b/crocusmux/core/forward/liveness.py
@@ -12,6 +12,24 @@
 
 # Interval between two requests to an agent that does not reply.
 REQUEST_INTERVAL_S = 0.25
+# An agent that has left a flow query unanswered for this time is asked.  It is two
+# timeouts of a first round.
+QUERY_TIMEOUT_S = 0.12
+# An agent that has left this many requests unanswered, and the first query or
+# request for this time, is lost.  A planned restart takes less, and the new agent
+# gets a request within one interval.  The time since the agent's last message
+# would not do: that may be one report interval (3.4 s) before the restart began.
+MIN_REQUESTS = 4
+UNANSWERED_TIMEOUT_S = upstreams.MIN_LOST_S + REQUEST_INTERVAL_S
+# A balancer that, of the agents from which it has heard within HEARD_BEFORE_S, has
+# not heard from half within HEARD_NOW_S, is probably cut off itself.
+HEARD_NOW_S = upstreams.MIN_LOST_S
+HEARD_BEFORE_S = 60.0
+# Interval between two requests to an agent that counts as lost.
+LOST_REQUEST_INTERVAL_S = 1.0
+# An agent that counts as lost is asked no longer after this time.  A host that
+# returns later announces itself again.
+MAX_REQUESTED_S = 20.0
 # Limit of the requests of a balancer: in a partition all agents are silent, and
 # with 128 bytes a request this is 0.33 Mbit/s of a link of 5 Mbit/s.
 MAX_REQUESTS_PER_S = 320
@@ -29,7 +47,13 @@
 class Liveness:
     """Finds the agents of a balancer that do not answer requests."""
 
-    __slots__ = ("_agent_table", "_next_request_at", "_timer_at", "_watched")
+    __slots__ = (
+        "_agent_table",
+        "_next_mark_at",
+        "_next_request_at",
+        "_timer_at",
+        "_watched",
+    )
 
     def __init__(self, agents: agent_table.AgentTable) -> None:
         """Watches the agents of a table; none has been asked yet."""
@@ -37,6 +61,7 @@
         # Agents that left something unanswered, or whose record is gone.
         self._watched: dict[str, upstreams.Upstream] = {}
         self._next_request_at = float("-inf")
+        self._next_mark_at = float("-inf")
         # No gap is known before the first run of the timer.
         self._timer_at = float("inf")
 
@@ -61,6 +86,14 @@
         if not upstream.gone_at:
             self._watched.pop(host, None)
 
+    def on_query(self, now: float, upstream: upstreams.Upstream) -> None:
+        """Records that a flow query was sent to an agent."""
+        if upstream.unanswered_since is None:
+            upstream.unanswered_since = now
+        # Agents that have never reported are asked in any case.
+        if upstream.report is not None:
+            self._watched[upstream.record.host] = upstream
+
     def on_record_gone(self, upstream: upstreams.Upstream) -> None:
         """Begins to ask an agent whose record was deleted."""
         upstream.clear_requests()
@@ -73,11 +106,11 @@
             return []
         due = []
         for host, upstream in list(self._watched.items()):
-            if self._agent_table.get(host) is not upstream or not (
-                upstream.gone_at or upstream.unanswered_since is not None
-            ):
+            if self._agent_table.get(
+                host
+            ) is not upstream or not _needs_requests(now, upstream):
                 del self._watched[host]
-            elif now - upstream.requested_at >= REQUEST_INTERVAL_S:
+            elif _request_due(now, upstream):
                 due.append(upstream)
         asked = heapq.nsmallest(
             MAX_REQUESTS_AT_ONCE, due, key=lambda x: x.requested_at
@@ -88,14 +121,78 @@
         return asked
 
     def mark_lost(self, now: float) -> list[upstreams.Upstream]:
-        """Marks agents that answer no requests as lost; returns them."""
-        marked = []
-        for upstream in self._watched.values():
-            if not upstream.unresponsive and _lost_with_record(now, upstream):
-                upstream.unresponsive = True
-                marked.append(upstream)
+        """Marks agents that answer no requests as lost; returns them.
+
+        None is marked while the balancer is probably cut off; the limits of
+        ``Upstream.lost`` then apply alone.
+        """
+        marked = [
+            upstream
+            for upstream in self._watched.values()
+            if not upstream.unresponsive
+            and (
+                _left_requests_unanswered(now, upstream)
+                or _lost_with_record(now, upstream)
+            )
+        ]
+        if not marked or now < self._next_mark_at:
+            return []
+        if self._cut_off(now):
+            self._next_mark_at = now + REQUEST_INTERVAL_S
+            return []
+        for upstream in marked:
+            upstream.unresponsive = True
         return marked
 
+    def _cut_off(self, now: float) -> bool:
+        """Returns True if the balancer hears from less than half of its agents.
+
+        Agents with long intervals between reports need not have been heard from
+        within the last seconds, so each counts by the share that is due.  More
+        than half that leave requests unanswered are as good a sign.
+        """
+        known = unanswered = 0
+        expected = heard = 0.0
+        for upstream in self._agent_table.all():
+            age_s = now - upstream.heard_at
+            if upstream.report is None or age_s > HEARD_BEFORE_S:
+                continue
+            known += 1
+            interval_s = max(upstream.report.interval_s, HEARD_NOW_S)
+            expected += HEARD_NOW_S / interval_s
+            heard += age_s <= HEARD_NOW_S
+            unanswered += upstream.unanswered_requests >= MIN_REQUESTS
+        return 2 * heard < expected or 2 * unanswered > known
+
+
+def _needs_requests(now: float, upstream: upstreams.Upstream) -> bool:
+    if upstream.unanswered_since is None:
+        return upstream.gone_at > 0
+    return (
+        not upstream.unresponsive
+        or now - upstream.unanswered_since <= MAX_REQUESTED_S
+    )
+
+
+def _request_due(now: float, upstream: upstreams.Upstream) -> bool:
+    since = upstream.unanswered_since
+    if upstream.unresponsive:
+        return now - upstream.requested_at >= LOST_REQUEST_INTERVAL_S
+    if not upstream.gone_at and (
+        since is None or now - since < QUERY_TIMEOUT_S
+    ):
+        return False
+    return now - upstream.requested_at >= REQUEST_INTERVAL_S
+
+
+def _left_requests_unanswered(now: float, upstream: upstreams.Upstream) -> bool:
+    """Returns True if an agent has been silent for longer than it restarts."""
+    return (
+        upstream.unanswered_since is not None
+        and upstream.unanswered_requests >= MIN_REQUESTS
+        and now - upstream.unanswered_since >= UNANSWERED_TIMEOUT_S
+    )
+
 
 def _lost_with_record(now: float, upstream: upstreams.Upstream) -> bool:
     """Returns True if an agent has ended after its record was deleted.
--- a/features/lookups.feature
+++ b/features/lookups.feature
@@ -47,3 +47,12 @@
     And 8 agents fall silent for good and 1 s passes
     And callers send on 1000 lost flows again within 4 s
     Then 99 of 100 are reset within 1.4 s, before their callers give up an attempt
+
+  # Guards against the same, with the wait that a planned restart of an agent, which
+  # takes up to 4 s, makes necessary.
+  Scenario: Callers of lost flows wait 5 s at most for silent hosts
+    Given open flows in a fleet of 109 agents in 5 failure domains
+    When all hosts lose power and start again
+    And 8 agents fall silent for good and 1 s passes
+    And callers send on 1000 lost flows again within 4 s
+    Then all of them are reset within 5 s, the time of a planned restart and 1 s
--- a/features/silent_agents.feature
+++ b/features/silent_agents.feature
@@ -89,3 +89,69 @@
     When callers send on lost flows every 0.15 s for 20 s
     Then in any 4 s the list of agents was read at most 10 times
     And all callers were reset within 0.75 s
+
+  # Guards against an agent that is asked only once its report is overdue, 5.1 s
+  # after the last one at an interval of 3.4 s.
+  Scenario: An agent that does not reply to a query is asked for a report at once
+    Given 12 agents that report every 3.4 s
+    When agent a1 ends
+    And a caller sends on a flow that no upstream holds
+    And 1.2 s pass at the balancer
+    Then agent a1 was asked for a report 4 times or more
+    And no other agent was asked for a report
+
+  # Guards against callers that wait until 1.5 report intervals and 4 s have passed.
+  # The bound is the 4 s that a planned restart may take, and 1 s.
+  Scenario Outline: No caller of a lost flow waits longer than 5 s for a silent agent
+    Given 12 agents that report every <interval> s
+    When agent a1 ends <when> its next report
+    And a caller sends on a flow that no upstream holds
+    And 6 s pass at the balancer
+    Then the caller was reset within 5 s
+
+    Examples:
+      | interval | when        |
+      | 0.25     | just before |
+      | 3.4      | just before |
+      | 3.4      | long before |
+
+  # Guards against fault FLOW (a): an agent is silent while it restarts, and its last
+  # message may be one report interval older than the restart.
+  Scenario Outline: A planned restart of an agent resets no flow
+    Given 12 agents that report every <interval> s
+    When agent a1 ends <when> its next report
+    And a caller sends on a flow that agent a1 holds
+    And 3.5 s pass at the balancer
+    And agent a1 starts again
+    And 2 s pass at the balancer
+    Then the caller was answered
+
+    Examples:
+      | interval | when        |
+      | 0.25     | just before |
+      | 3.4      | just before |
+      | 3.4      | long before |
+
+  # Guards against fault FLOW (a): a balancer that hears from few agents is cut off
+  # itself, and the other agents run.
+  Scenario Outline: A balancer that is cut off counts no agent as lost sooner
+    Given 12 agents that report every 3.4 s
+    When the balancer hears from <count> agents only
+    And a caller sends on a flow that agent a1 holds
+    And 5.1 s pass at the balancer
+    And the balancer hears from all agents again
+    And 3 s pass at the balancer
+    Then the caller was answered
+
+    Examples:
+      | count |
+      | 0     |
+      | 4     |
+
+  # Guards against requests that fill a link of 5 Mbit/s: a partition makes all
+  # agents silent.  The bound is 16 in each of 21 runs of the timer, 0.35 Mbit/s.
+  Scenario: A balancer that is cut off sends few requests
+    Given 200 agents that report every 28.1 s
+    When the balancer hears from 0 agents only
+    And callers send on lost flows every 0.1 s for 3 s
+    Then at most 336 requests a second were sent
--- a/features/steps/lookups_steps.py
+++ b/features/steps/lookups_steps.py
@@ -68,3 +68,12 @@
 def check_late(context, limit):
     waited = driver.percentile(context.fleet.waiting_times(), 0.99)
     assert waited <= limit, waited
+
+
+@then(
+    "all of them are reset within {limit:g} s, the time of a planned restart"
+    " and 1 s"
+)
+def check_all(context, limit):
+    waited = max(context.fleet.waiting_times())
+    assert waited <= limit, waited
--- a/features/steps/silent_agents_steps.py
+++ b/features/steps/silent_agents_steps.py
@@ -123,3 +123,40 @@
         assert caller.ended_at - caller.sent_at <= limit, (
             caller.ended_at - caller.sent_at
         )
+
+
+@when("agent {host:w} ends {when} its next report")
+def end_before_report(context, host, when):
+    fleet = context.fleet
+    agent = fleet.agents[host]
+    lead_s = {"just before": 0.06, "long before": agent.interval_s - 0.06}[when]
+    while not lead_s - 0.06 < agent.next_report_at - fleet.now <= lead_s:
+        fleet.run(0.05)
+    agent.running = False
+
+
+@then("no other agent was asked for a report")
+def check_only_one_asked(context):
+    assert len(context.fleet.requests) == 1, context.fleet.requests
+
+
+@when("the balancer hears from {count:d} agents only")
+def cut_off(context, count):
+    hosts = list(context.fleet.agents)
+    context.fleet.connected = set(hosts[len(hosts) - count :])
+
+
+@when("the balancer hears from all agents again")
+def reconnect(context):
+    context.fleet.connected = None
+
+
+@then("at most {limit:d} requests a second were sent")
+def check_request_rate(context, limit):
+    times = sorted(
+        time for times in context.fleet.requests.values() for time in times
+    )
+    most = max(
+        sum(start <= time < start + 1.0 for time in times) for start in times
+    )
+    assert 0 < most <= limit, most
