--- a/crocusmux/core/forward/agent_changes.py
+++ b/crocusmux/core/forward/agent_changes.py
@@ -1,6 +1,7 @@
 """Changes of a balancer's agents, with their events and subscriptions."""
 
 from crocusmux.core.forward import agent_table
+from crocusmux.core.forward import liveness
 from crocusmux.core.forward import outputs
 from crocusmux.core.forward import reports
 from crocusmux.core.forward import subscriptions
@@ -12,16 +13,18 @@
 class AgentChanges:
     """Adds and removes the agents of a balancer by their records."""
 
-    __slots__ = ("_agent_table", "_subscriptions")
+    __slots__ = ("_agent_table", "_liveness", "_subscriptions")
 
     def __init__(
         self,
         agents: agent_table.AgentTable,
         schedule: subscriptions.Subscriptions,
+        monitor: liveness.Liveness,
     ) -> None:
         """Changes a table, and subscribes to the agents that it adds."""
         self._agent_table = agents
         self._subscriptions = schedule
+        self._liveness = monitor
 
     def add(
         self, now: float, record: upstreams.AgentRecord, revision: int
@@ -51,7 +54,8 @@
     def on_record_gone(self, now: float, host: str, revision: int) -> Outputs:
         """Removes an agent whose record is gone, unless it still reports.
 
-        An agent that reports is told, and kept until it counts as lost.
+        An agent that reports is told and asked for a report, and is kept until
+        it counts as lost.
 
         Args:
             now: Time in seconds.
@@ -70,7 +74,9 @@
         if known:
             return []
         detail = f"agent={host} revision={revision}"
-        return self._announce("record-gone", detail, upstream)
+        self._liveness.on_record_gone(upstream)
+        upstream.record_request(now)
+        return self._announce("record-gone", detail, upstream, report_now=True)
 
     def withdraw(self, now: float, message: reports.Withdrawn) -> Outputs:
         """Counts an agent that has exited permanently as lost.
@@ -111,10 +117,14 @@
         return sent
 
     def _announce(
-        self, what: str, detail: str, upstream: upstreams.Upstream
+        self,
+        what: str,
+        detail: str,
+        upstream: upstreams.Upstream,
+        report_now: bool = False,
     ) -> Outputs:
         """Returns an event, and a subscription to the agent."""
         return [
             outputs.Event(what, b"", detail, True),
-            *self._subscriptions.make([upstream]),
+            *self._subscriptions.make([upstream], report_now),
         ]
--- a/crocusmux/core/forward/holder_resolver.py
+++ b/crocusmux/core/forward/holder_resolver.py
@@ -1,11 +1,14 @@
 """Resolves the holders of flows that a balancer does not know."""
 
+import collections
 from collections.abc import Container, Iterable
+import functools
 
 from crocusmux.core.forward import agent_table
 from crocusmux.core.forward import flow_queries
 from crocusmux.core.forward import flow_table
 from crocusmux.core.forward import holder_lookup
+from crocusmux.core.forward import liveness
 from crocusmux.core.forward import outputs
 from crocusmux.core.forward import reports
 from crocusmux.core.forward import routes
@@ -14,8 +17,15 @@
 
 # Interval between two probes of an assumed holder, as its claim may get lost.
 PROBE_INTERVAL_S = 0.2
-# Minimum interval between reads of the list of agents because of denials.
-LIST_INTERVAL_S = 0.5
+# Minimum interval between reads of the list of agents because of denials.  A
+# lookup waits for a read, and goals of answers begin at 0.25 s.
+LIST_INTERVAL_S = 0.25
+# The same after LIST_BURST reads within LIST_PERIOD_S, so that at most
+# MAX_LISTS are read in any such period, and none waits for 1 s or longer.
+BUSY_LIST_INTERVAL_S = 0.5
+LIST_BURST = 5
+LIST_PERIOD_S = 4.0
+MAX_LISTS = 10
 # The same for flows whose callers send no data: nothing is reset for them, and a
 # caller that closes a lost flow retransmits for many seconds.
 NO_DATA_LIST_INTERVAL_S = 5.0
@@ -39,7 +49,9 @@
         "_agent_table",
         "_evacuated",
         "_flows",
-        "_listing_began_at",
+        "_list_wanted",
+        "_lists_began_at",
+        "_liveness",
         "_lookups",
         "_lost_share",
         "_queries",
@@ -52,6 +64,7 @@
         agents: agent_table.AgentTable,
         flows: flow_table.FlowTable,
         evacuated: Container[str],
+        monitor: liveness.Liveness,
     ) -> None:
         """Creates a resolver without lookups.
 
@@ -61,14 +74,20 @@
             flows: Connection tracking of the balancer.
             evacuated: Failure domains whose upstreams get no openings, not even
                 late duplicates; all other segments of open flows reach them.
+            monitor: Gets the queries, and finds agents that do not reply.
         """
         self._routes = route_table
         self._agent_table = agents
         self._flows = flows
         self._evacuated = evacuated
+        self._liveness = monitor
         self._lookups: dict[bytes, flow_table.Flow] = {}
         self._queries = flow_queries.FlowQueries()
-        self._listing_began_at = float("-inf")
+        # True if a flow with data waits for the interval between two reads.
+        self._list_wanted = False
+        self._lists_began_at: collections.deque[float] = collections.deque(
+            maxlen=MAX_LISTS
+        )
         self._lost_share = 0.0
 
     def resolve(
@@ -101,18 +120,36 @@
         """Starts the rounds of lookups that are due, and drops idle lookups."""
         sent: Outputs = []
         self._queries.expire(now)
+        if self._list_wanted and self._may_list(now, has_data=True):
+            sent += self._read_list(now)
+        listed_at = self._agent_table.listed_at
         # Queries that were not answered are not repeated while others wait.
         may_repeat = not self._queries.has_pending()
         for key, flow in list(self._lookups.items()):
             lookup = flow.lookup
             if lookup is None or lookup.caller_idle(now):
                 del self._lookups[key]
-            elif lookup.round_due(now) and (
-                may_repeat or lookup.between_searches()
+            elif lookup.proves_loss(listed_at) or (
+                lookup.round_due(now)
+                and (
+                    may_repeat
+                    or lookup.between_searches()
+                    or lookup.stalled(now, self._agent_table.get)
+                )
             ):
                 sent += self._query_round(now, lookup)
+            elif lookup.early_probes_due(
+                now, functools.partial(self._possible_holders, lookup)
+            ):
+                sent += self._probe(lookup, lookup.take_early(now))
         return sent + self.send_queries(now)
 
+    def hasten(self) -> None:
+        """Lets all lookups go on at the next timer, as agents were lost."""
+        for flow in self._lookups.values():
+            if flow.lookup is not None:
+                flow.lookup.hasten()
+
     def send_queries(self, now: float) -> Outputs:
         """Sends the pending flow queries if the rate limit allows it."""
         sent: Outputs = []
@@ -121,6 +158,7 @@
         for host, number, flows in self._queries.take_pending(now):
             upstream = self._agent_table.get(host)
             if upstream is not None:
+                self._liveness.on_query(now, upstream)
                 query = reports.FlowQuery(number, upstream.tag, flows)
                 sent.append(outputs.ToPeer(upstream.record.control, query))
         return sent
@@ -242,8 +280,10 @@
         if self._of_other_service(host, key):
             # Its upstream must get no segment of a flow that it may not hold.
             return self.on_denied(now, reports.FlowDenied(host, key))
-        if not lookup.record_uncertain(host):
-            return []
+        round_complete = lookup.record_uncertain(host)
+        probes = self._probe(lookup, lookup.take_early(now))
+        if probes or not round_complete:
+            return probes
         return self._on_round_complete(now, lookup)
 
     def _on_round_complete(
@@ -270,17 +310,33 @@
             lookup.all_services = True
             if proven:
                 return self._query_round(now, lookup)
-        interval_s = NO_DATA_LIST_INTERVAL_S
-        if lookup.probe_segment.length:
-            interval_s = LIST_INTERVAL_S
-        if (
-            listed_at >= lookup.began_at
-            or now - self._listing_began_at < interval_s
-        ):
+        has_data = lookup.probe_segment.length > 0
+        if listed_at >= lookup.began_at:
             return []
-        self._listing_began_at = now
+        if self._may_list(now, has_data):
+            return self._read_list(now)
+        if has_data and self._lists_began_at[-1] < lookup.began_at:
+            self._list_wanted = True
+        return []
+
+    def _read_list(self, now: float) -> Outputs:
+        self._list_wanted = False
+        self._lists_began_at.append(now)
         return [outputs.ListAgents()]
 
+    def _may_list(self, now: float, has_data: bool) -> bool:
+        """Returns True if the list of agents may be read for a flow."""
+        began_at = self._lists_began_at
+        if not began_at:
+            return True
+        recent = sum(now - time < LIST_PERIOD_S for time in began_at)
+        interval_s = LIST_INTERVAL_S
+        if not has_data:
+            interval_s = NO_DATA_LIST_INTERVAL_S
+        elif recent >= LIST_BURST:
+            interval_s = BUSY_LIST_INTERVAL_S
+        return recent < MAX_LISTS and now - began_at[-1] >= interval_s
+
     def _query_round(
         self, now: float, lookup: holder_lookup.HolderLookup
     ) -> Outputs:
@@ -293,7 +349,7 @@
             if sent:
                 return sent
         if lookup.all_replied(now, agents):
-            probes = self._probe_uncertain(lookup)
+            probes = self._probe(lookup, lookup.take_uncertain(now))
             if probes:
                 return probes
         query_all = self._lost_share > MAX_LOST_SHARE
@@ -304,8 +360,10 @@
         detail += f" searches={lookup.searches} config={self._routes.version}"
         return [outputs.Event("ask", seg.key, detail), *self.send_queries(now)]
 
-    def _probe_uncertain(self, lookup: holder_lookup.HolderLookup) -> Outputs:
-        known = [self._agent_table.get(x) for x in lookup.take_uncertain()]
+    def _probe(
+        self, lookup: holder_lookup.HolderLookup, hosts: Iterable[str]
+    ) -> Outputs:
+        known = [self._agent_table.get(host) for host in hosts]
         return self._make_probes(lookup.probe_segment, [x for x in known if x])
 
     def _make_probes(
--- a/crocusmux/core/forward/upstreams.py
+++ b/crocusmux/core/forward/upstreams.py
@@ -27,6 +27,11 @@
 # after a loss of power callers don't wait long for hosts that did not return.
 # Such an agent gets a subscription every half second or more often.
 FIRST_REPORT_TIMEOUT_S = 2.5
+# An agent that has left a flow query or a request unanswered for this time, two
+# timeouts of a first round, does not reply for now, unless another message has
+# arrived within the second time: its reply may have got lost.
+QUERY_TIMEOUT_S = 0.12
+RECENT_MESSAGE_S = 0.5
 # An agent that declined a flow because of overload gets no other flow for this
 # time, about one service time.
 OVERLOAD_BACKOFF_S = 0.03
@@ -134,6 +139,17 @@
         avoided: True if, since that report, an opening was not answered or was
             declined because of the upstream's state.
         backoff_until: Time until which no new flows are offered, seconds.
+        heard_at: Time of the agent's last message of any kind, seconds;
+            negative infinity before.
+        resumed_at: Time at which the balancer was last resumed after a
+            suspension, seconds; negative infinity if it never was.
+        unanswered_since: Time of the first query or request since the agent's
+            last message, seconds; None if there is none.
+        unanswered_requests: Requests for a report since that message.
+        first_request_at: Time of the first of these requests, seconds.
+        requested_at: Time of the last request, seconds.
+        unresponsive: True if the agent counts as lost, as it answered no
+            requests; until its next message.
         withdrawn_incarnation: Incarnation that has exited permanently; None
             while the agent runs or may run.
     """
@@ -142,15 +158,22 @@
         "added_at",
         "avoided",
         "backoff_until",
+        "first_request_at",
         "gone_at",
+        "heard_at",
         "record",
         "record_is_newer",
         "report",
         "reported_at",
         "reporting_incarnation",
+        "requested_at",
+        "resumed_at",
         "revision",
         "tag",
+        "unanswered_requests",
+        "unanswered_since",
         "unreported_offers",
+        "unresponsive",
         "withdrawn_incarnation",
     )
 
@@ -169,6 +192,33 @@
         self.unreported_offers = 0
         self.avoided = False
         self.backoff_until = float("-inf")
+        self.heard_at = float("-inf")
+        self.resumed_at = float("-inf")
+        self.unanswered_since: float | None = None
+        self.unanswered_requests = 0
+        self.first_request_at = float("-inf")
+        self.requested_at = float("-inf")
+        self.unresponsive = False
+
+    def record_message(self, now: float) -> None:
+        """Records a message, which answers all queries and requests."""
+        self.heard_at = now
+        self.unresponsive = False
+        self.clear_requests()
+
+    def clear_requests(self) -> None:
+        """Forgets which queries and requests were not answered."""
+        self.unanswered_since = None
+        self.unanswered_requests = 0
+
+    def record_request(self, now: float) -> None:
+        """Records a request for a report."""
+        self.requested_at = now
+        if not self.unanswered_requests:
+            self.first_request_at = now
+        self.unanswered_requests += 1
+        if self.unanswered_since is None:
+            self.unanswered_since = now
         self.withdrawn_incarnation: int | None = None
 
     def announced_at(self) -> int:
@@ -210,15 +260,23 @@
         return now - self.reported_at
 
     def silent_for_s(self, now: float) -> float:
-        """Returns the time since the last report, or since the agent is known.
+        """Returns the time for which the balancer has waited for a report.
 
-        In seconds.
+        In seconds, since the last report, since the agent is known, or since
+        the balancer was resumed.
         """
-        return now - max(self.reported_at, self.added_at)
+        return now - max(self.reported_at, self.added_at, self.resumed_at)
 
     def silent(self, now: float) -> bool:
-        """Returns True if several reports are missing."""
-        if self.report is None or self.withdrawn_incarnation is not None:
+        """Returns True if the agent has withdrawn, or reports are missing.
+
+        Several reports, or answers to requests for one.
+        """
+        if (
+            self.report is None
+            or self.unresponsive
+            or self.withdrawn_incarnation is not None
+        ):
             return True
         # Most agents have a recent report, and each opening asks for many.
         if now - self.reported_at < MIN_SILENT_S:
@@ -238,18 +296,27 @@
         silent_s = self.silent_for_s(now)
         return OVERDUE_INTERVALS * interval_s < silent_s < MAX_OVERDUE_S
 
+    def replying(self, now: float) -> bool:
+        """Returns False if the agent has left a query or request unanswered."""
+        return (
+            self.unanswered_since is None
+            or now - self.unanswered_since < QUERY_TIMEOUT_S
+            or now - self.heard_at < RECENT_MESSAGE_S
+        )
+
     def lost(self, now: float) -> bool:
         """Returns True if the agent has withdrawn, or is silent for too long."""
-        if self.withdrawn_incarnation is not None:
+        if self.unresponsive or self.withdrawn_incarnation is not None:
             return True
+        silent_s = now - max(self.reported_at, self.heard_at, self.resumed_at)
         if self.report is None:
-            return now - self.added_at > FIRST_REPORT_TIMEOUT_S
+            return min(silent_s, now - self.added_at) > FIRST_REPORT_TIMEOUT_S
         interval_s = self.report.interval_s
         limit_s = min(
             LOST_INTERVALS * interval_s,
             OVERDUE_INTERVALS * interval_s + MAX_OVERDUE_UNTIL_LOST_S,
         )
-        return self.report_age_s(now) > max(MIN_LOST_S, limit_s)
+        return silent_s > max(MIN_LOST_S, limit_s)
 
     def back_off(self, now: float, seconds: float) -> None:
         """Offers no new flows for a time; a longer pause stays in force."""
