Remove hosts and lose power in the soak test

The soak test restarted each host that it ended, and never ended all at once.

A pair of upstream and agent is now replaced at a new address or lost for good, and all daemons and upstreams lose power at once. The rule lost-flow-reset-late judges how long callers wait for the reset of a flow that no upstream holds. Hedging and the contract health are each on in half of the seeds. Plans have a version; known cases and the run of the feature keep version 1, whose plans are compared with their checksums.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -4,7 +4,7 @@
   # Guards against faults that only real processes, sockets and kills show, such
   # as a reset of an open flow by a balancer that has just started.
   Scenario: A run of 10 s breaks no rule
-    When the soak test runs for 10 s with seed 186
+    When the soak test runs for 10 s with seed 186 and plan version 1
     Then it ends with status 0
     And it has injected 13 faults and seen at least 300 requests
 
@@ -26,6 +26,32 @@
     And plans of 60 s with seeds 7 and 8 differ
     And in plans of 60 s all faults end within 60 s, one at a time on a host
 
+  # Guards against a known case whose seed stands for another series of faults.
+  Scenario Outline: The plan of known case <seed> stays the same
+    Then the plan of <seconds> s with seed <seed> and version 1 has checksum <sum>
+
+    Examples:
+      | seed | seconds | sum        |
+      | 3    | 10      | 3892244152 |
+      | 6    | 30      | 3792016682 |
+      | 8    | 30      | 2295355038 |
+      | 186  | 10      | 2932320349 |
+
+  # Guards against cases that the command cannot run, or runs by another plan.
+  Scenario: The known cases name the versions of their plans
+    Then the known cases 3, 6 and 8 have plan version 1
+
+  # Guards against faults that are listed but never injected.
+  Scenario: The plans contain all faults
+    Then among plans of 30 s with seeds 301 to 312 there is each kind of fault
+    And in plans of 60 s removed hosts get no further fault, and new ones do
+    And in plans of 60 s each service keeps at least 2 upstreams
+    And in plans of 60 s no host has a fault at a loss of power, and only pairs leave for 9 s
+
+  # Guards against options that no seed, or each seed, has.
+  Scenario: Half of the seeds have each option
+    Then of seeds 301 to 312 the daemons hedge in 6, name health in 6, and do both in 3
+
   # Guards against a soak test that passes because it checks nothing.
   Scenario Outline: The soak test reports <what>
     Given a checker of the soak test with a route that leads to rounds
@@ -54,3 +80,24 @@
       | an old configuration after 6 s                  | configuration-in-force     |
       | an old configuration after 4 s                  | nothing                    |
       | a daemon that ends                              | daemon-ended               |
+      | a lost flow that waits for 7 s                  | lost-flow-reset-late       |
+      | a lost flow that waits for 5 s                  | nothing                    |
+      | a flow that is held and waits for 7 s           | nothing                    |
+      | a lost flow whose caller sends nothing for 7 s  | nothing                    |
+      | a lost flow that is reset after 5 s             | nothing                    |
+      | a lost flow 7 s after an agent was removed      | lost-flow-reset-late       |
+      | a lost flow 7 s after a new agent appeared      | lost-flow-reset-late       |
+      | a lost flow 5 s after an agent came back        | nothing                    |
+      | a lost flow 7 s after an agent came back        | lost-flow-reset-late       |
+      | a lost flow 5 s after an upstream came back     | nothing                    |
+      | a lost flow 7 s after an upstream came back     | lost-flow-reset-late       |
+      | a lost flow 5 s after a host was lost           | nothing                    |
+      | a lost flow 7 s after a host was lost           | lost-flow-reset-late       |
+      | a lost flow 5 s after its balancer came back    | nothing                    |
+      | a lost flow 7 s after its balancer came back    | lost-flow-reset-late       |
+      | a lost flow 5 s after it moved to a balancer    | nothing                    |
+      | a lost flow 5 s after packets were dropped      | nothing                    |
+      | a lost flow 7 s after packets were dropped      | lost-flow-reset-late       |
+      | a lost flow 5 s after the store came back       | nothing                    |
+      | a lost flow while an agent is away              | nothing                    |
+      | a lost flow 5 s after an agent of wheelbook came back | lost-flow-reset-late |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -6,6 +6,7 @@
 import tempfile
 import types
 from unittest import mock
+import zlib
 
 from behave import given
 from behave import then
@@ -27,10 +28,14 @@
 ISN = 700
 
 
-@when("the soak test runs for {seconds:d} s with seed {seed:d}")
-def run_soak(context, seconds, seed):
+@when(
+    "the soak test runs for {seconds:d} s with seed {seed:d} and plan version"
+    " {version:d}"
+)
+def run_soak(context, seconds, seed, version):
     cmd = [sys.executable, "-m", "soak"]
     cmd += ["--seed", str(seed), "--seconds", str(seconds)]
+    cmd += ["--plan-version", str(version)]
     process = subprocess.Popen(
         cmd,
         cwd=ROOT,
@@ -87,7 +92,7 @@
         ),
         mock.patch.object(tempfile, "tempdir", folder.name),
     ):
-        context.exit_status = soak_main.run_in_folder(1, 1)
+        context.exit_status = soak_main.run_in_folder(1, 1, 2)
 
 
 @then("its exit status is {status:d}")
@@ -119,13 +124,112 @@
             assert ends[fault.target] <= limit, fault
 
 
+@then(
+    "the plan of {seconds:d} s with seed {seed:d} and version {version:d} has"
+    " checksum {expected:d}"
+)
+def check_checksum(context, seconds, seed, version, expected):
+    # Rounded, so that only a change of the plan changes the sum.
+    text = ";".join(
+        f"{x.at_s:.6f} {x.kind} {x.target} {x.duration_s:.6f} {x.degree:.6f}"
+        for x in plan.make_plan(seed, seconds, version)
+    )
+    assert zlib.crc32(text.encode()) == expected, text
+    assert plan.make_options(seed, version) == plan.Options(True, True)
+
+
+@then("the known cases 3, 6 and 8 have plan version 1")
+def check_known_cases(context):
+    cases = soak_main.read_cases()
+    assert {(3, 10, 1), (6, 30, 1), (8, 30, 1)} <= set(cases), cases
+
+
+def make_plans(seconds):
+    return [plan.make_plan(seed, seconds) for seed in range(50)]
+
+
+@then(
+    "among plans of {seconds:d} s with seeds {first:d} to {last:d} there is"
+    " each kind of fault"
+)
+def check_kinds(context, seconds, first, last):
+    seeds = range(first, last + 1)
+    plans = [plan.make_plan(seed, seconds) for seed in seeds]
+    found = {fault.kind for faults in plans for fault in faults}
+    assert found == set(plan.KINDS), set(plan.KINDS) - found
+
+
+@then(
+    "in plans of {seconds:d} s removed hosts get no further fault, and new"
+    " ones do"
+)
+def check_removed(context, seconds):
+    targets = set()
+    for faults in make_plans(seconds):
+        present, removed = set(plan.HOSTS), set()
+        for fault in faults:
+            host = fault.target.startswith(("agent", "balancer"))
+            assert fault.target in present or not host, fault
+            targets.add(fault.target)
+            if fault.kind.startswith("pair"):
+                present.discard(fault.target)
+                removed.add(fault.target)
+            if fault.kind == "pair-replace":
+                assert fault.successor not in present | removed, fault
+                present.add(fault.successor)
+    assert "agent-7" in targets, targets
+
+
+@then(
+    "in plans of {seconds:d} s each service keeps at least {least:d} upstreams"
+)
+def check_upstreams_left(context, seconds, least):
+    for faults in make_plans(seconds):
+        services = {name: service for name, (_, service) in plan.HOSTS.items()}
+        for fault in faults:
+            if fault.kind.startswith("pair"):
+                service = services.pop(fault.target)
+                if fault.successor:
+                    services[fault.successor] = service
+                assert list(services.values()).count(service) >= least, fault
+
+
+@then(
+    "in plans of {seconds:d} s no host has a fault at a loss of power, and"
+    " only pairs leave for {quiet_s:d} s"
+)
+def check_power_losses(context, seconds, quiet_s):
+    for faults in make_plans(seconds):
+        for number, loss in enumerate(faults):
+            if loss.kind != "power-loss":
+                continue
+            for fault in faults[:number]:
+                host = fault.target.startswith(("agent", "balancer"))
+                assert not host or fault.end_s < loss.at_s, (fault, loss)
+            for fault in faults[number + 1 :]:
+                quiet = fault.at_s < loss.end_s + quiet_s
+                assert fault.kind == "pair-replace" or not quiet, (fault, loss)
+
+
+@then(
+    "of seeds {first:d} to {last:d} the daemons hedge in {hedging:d}, name"
+    " health in {health:d}, and do both in {both:d}"
+)
+def check_options(context, first, last, hedging, health, both):
+    found = [plan.make_options(seed) for seed in range(first, last + 1)]
+    assert sum(x.hedging for x in found) == hedging, found
+    assert sum(x.health for x in found) == health, found
+    assert sum(x.hedging and x.health for x in found) == both, found
+
+
 class Clock:
     def __init__(self):
         self.now = 100.0
 
 
 def make_daemon(context, name):
-    return daemons.Daemon(None, None, name, "abay", "")
+    options = plan.Options()
+    return daemons.Daemon(None, None, name, "abay", "", options)
 
 
 def make_upstream(context, number, service):
@@ -139,6 +243,7 @@
         boot=1,
         held={},
         half_open={},
+        restarted_at=0.0,
     )
 
 
@@ -150,11 +255,15 @@
     context.first = make_upstream(context, 1, "rounds")
     context.second = make_upstream(context, 2, "rounds")
     context.balancer = make_daemon(context, "balancer-1")
+    context.upstreams = {
+        "upstream-1": context.first,
+        "upstream-2": context.second,
+    }
     context.checker = rules.Checker(
         lambda: context.clock.now,
         pathlib.Path(folder.name) / "log",
-        [context.balancer],
-        {"upstream-1": context.first, "upstream-2": context.second},
+        [context.balancer, make_daemon(context, "balancer-2")],
+        context.upstreams,
     )
     context.add_cleanup(context.checker.close)
     context.checker.find_flow = lambda key: types.SimpleNamespace(
@@ -282,6 +391,159 @@
     context.checker.on_exit("balancer-1", 1)
 
 
+def make_waiting_flow(context):
+    return types.SimpleNamespace(
+        key=KEY,
+        state="open",
+        balancer="balancer-1",
+        waits_since=context.clock.now,
+        began_at=context.clock.now,
+        first_ack=ISN + 1,
+    )
+
+
+def watch(context, seconds, flow=None):
+    flow = flow or context.waiting
+    for _ in range(round(seconds / system.POLL_INTERVAL_S) + 1):
+        context.checker.check_lost(flow)
+        context.clock.now += system.POLL_INTERVAL_S
+
+
+def lose_flow(context):
+    """Lets the caller of a lost flow wait for 5 s."""
+    context.first.held.clear()
+    for upstream in (context.first, context.second):
+        # The first start of an agent.
+        upstream.daemon.outages.append((0.0, 1.0))
+    context.waiting = make_waiting_flow(context)
+    watch(context, 5.0)
+
+
+@when("a lost flow that waits for {seconds:d} s is observed")
+def observe_lost_flow(context, seconds):
+    lose_flow(context)
+    watch(context, seconds - 5)
+
+
+@when("a flow that is held and waits for 7 s is observed")
+def observe_held_flow(context):
+    watch(context, 7, make_waiting_flow(context))
+
+
+@when("a lost flow whose caller sends nothing for 7 s is observed")
+def observe_idle_lost_flow(context):
+    context.first.held.clear()
+    flow = make_waiting_flow(context)
+    flow.waits_since = None
+    watch(context, 7, flow)
+
+
+@when("a lost flow that is reset after 5 s is observed")
+def observe_reset_lost_flow(context):
+    lose_flow(context)
+    context.waiting.state = "reset"
+    watch(context, 5)
+
+
+def restart_agent(context, upstream):
+    now = context.clock.now
+    upstream.daemon.outages.append((now - 1.0, now))
+
+
+@when("a lost flow {seconds:d} s after an agent was removed is observed")
+def observe_after_removal(context, seconds):
+    lose_flow(context)
+    del context.upstreams["upstream-2"]
+    watch(context, seconds - 5)
+
+
+@when("a lost flow {seconds:d} s after a new agent appeared is observed")
+def observe_after_new_agent(context, seconds):
+    lose_flow(context)
+    third = make_upstream(context, 3, "rounds")
+    third.daemon.away_since = context.clock.now
+    context.upstreams["upstream-3"] = third
+    watch(context, 1)
+    third.daemon.away_since = None
+    third.daemon.outages.append((context.clock.now - 1.0, context.clock.now))
+    watch(context, seconds - 5)
+
+
+@when("a lost flow {seconds:d} s after an agent came back is observed")
+def observe_after_agent(context, seconds):
+    lose_flow(context)
+    restart_agent(context, context.second)
+    watch(context, seconds)
+
+
+@when(
+    "a lost flow {seconds:d} s after an agent of wheelbook came back is"
+    " observed"
+)
+def observe_after_other_agent(context, seconds):
+    lose_flow(context)
+    other = make_upstream(context, 3, "wheelbook")
+    context.upstreams["upstream-3"] = other
+    other.daemon.outages.append((0.0, 1.0))
+    restart_agent(context, other)
+    watch(context, seconds)
+
+
+@when("a lost flow {seconds:d} s after an upstream came back is observed")
+def observe_after_upstream(context, seconds):
+    lose_flow(context)
+    context.second.restarted_at = None
+    watch(context, 7)
+    context.second.restarted_at = context.clock.now
+    watch(context, seconds)
+
+
+@when("a lost flow {seconds:d} s after a host was lost is observed")
+def observe_after_lost_host(context, seconds):
+    lose_flow(context)
+    del context.upstreams["upstream-2"]
+    context.checker.on_host_lost("rounds")
+    watch(context, seconds)
+
+
+@when("a lost flow {seconds:d} s after its balancer came back is observed")
+def observe_after_balancer(context, seconds):
+    lose_flow(context)
+    now = context.clock.now
+    context.balancer.outages.append((now - 1.0, now))
+    watch(context, seconds)
+
+
+@when("a lost flow {seconds:d} s after it moved to a balancer is observed")
+def observe_after_move(context, seconds):
+    lose_flow(context)
+    context.waiting.balancer = "balancer-2"
+    watch(context, seconds)
+
+
+@when("a lost flow {seconds:d} s after packets were dropped is observed")
+def observe_after_drops(context, seconds):
+    lose_flow(context)
+    with context.checker.trouble(rules.NETWORK):
+        watch(context, 7)
+    watch(context, seconds)
+
+
+@when("a lost flow {seconds:d} s after the store came back is observed")
+def observe_after_store(context, seconds):
+    lose_flow(context)
+    with context.checker.trouble("all"):
+        watch(context, 7)
+    watch(context, seconds)
+
+
+@when("a lost flow while an agent is away is observed")
+def observe_while_agent_is_away(context):
+    lose_flow(context)
+    context.second.daemon.away_since = context.clock.now
+    watch(context, 20)
+
+
 @then("the checker reports {rule}")
 def check_report(context, rule):
     found = context.checker.violations
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,6 +1,6 @@
 """Runs the forwarding daemons under faults that a seed determines.
 
-    python -m soak --seed N --seconds S [--plan]
+    python -m soak --seed N --seconds S [--plan] [--plan-version V]
     python -m soak --cases
 
 Prints the broken rules, if any, and a summary.  Exit status: 0, 1 if a rule was
@@ -23,7 +23,9 @@
 CASES = pathlib.Path(__file__).parent / "cases.txt"
 
 
-async def run(seed: int, seconds: float, folder: pathlib.Path) -> int:
+async def run(
+    seed: int, seconds: float, version: int, folder: pathlib.Path
+) -> int:
     """Runs the test; returns the exit status."""
     loop, task = asyncio.get_running_loop(), asyncio.current_task()
     assert task is not None
@@ -35,10 +37,11 @@
         failures.append(str(context.get("exception", context["message"])))
 
     loop.set_exception_handler(on_exception)
-    tested = system.System(folder, seed)
+    options = plan.make_options(seed, version)
+    tested = system.System(folder, seed, options)
     try:
         await tested.start()
-        await tested.inject(plan.make_plan(seed, seconds))
+        await tested.inject(plan.make_plan(seed, seconds, version))
         await tested.recover()
     finally:
         await tested.stop()
@@ -53,12 +56,12 @@
     return NOT_RUN if failures else HELD
 
 
-def run_in_folder(seed: int, seconds: float) -> int:
+def run_in_folder(seed: int, seconds: float, version: int) -> int:
     """Runs the test in a temporary directory, which is kept if it fails."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
     status = NOT_RUN
     try:
-        status = asyncio.run(run(seed, seconds, folder))
+        status = asyncio.run(run(seed, seconds, version, folder))
     except (Exception, asyncio.CancelledError):
         logging.exception("could not run: seed=%d", seed)
     if status == HELD:
@@ -74,16 +77,24 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=30.0)
     parser.add_argument("--plan", action="store_true", help="print the faults")
+    parser.add_argument("--plan-version", type=int, default=plan.VERSION)
     parser.add_argument("--cases", action="store_true", help="run known cases")
     args = parser.parse_args()
     if args.plan:
-        print(*plan.make_plan(args.seed, args.seconds), sep="\n")
+        print(plan.make_options(args.seed, args.plan_version))
+        faults = plan.make_plan(args.seed, args.seconds, args.plan_version)
+        print(*faults, sep="\n")
         return HELD
     if not args.cases:
-        return run_in_folder(args.seed, args.seconds)
+        return run_in_folder(args.seed, args.seconds, args.plan_version)
+    return max(run_in_folder(*case) for case in read_cases())
+
+
+def read_cases() -> list[tuple[int, float, int]]:
+    """Returns seed, seconds and version of the plan of each known case."""
     lines = CASES.read_text().splitlines()
-    numbers = [line.split()[:2] for line in lines if not line.startswith("#")]
-    return max(run_in_folder(int(n), float(s)) for n, s in numbers)
+    fields = [line.split()[:3] for line in lines if not line.startswith("#")]
+    return [(int(n), float(s), int(version)) for n, s, version in fields]
 
 
 if __name__ == "__main__":
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -19,7 +19,7 @@
 MAX_ATTEMPTS = 3
 BUDGET_S = 5.0
 # Delays after which unanswered data is sent again.
-RETRANSMIT_S = (0.2, 0.4, 0.8, 1.6, 1.6, 1.6)
+RETRANSMIT_S = (0.2, 0.4, 0.8, *(1.6,) * 7)
 # Distance of a reset's sequence number from the caller's last acknowledgement up
 # to which it counts (source: the platform's protocol).
 RESET_WINDOW = 76_800
@@ -28,7 +28,11 @@
 # Mean time between two requests of a long flow, and until it is opened again.
 LONG_PAUSE_S = 0.5
 LONG_RETRY_S = 0.1
-LONG_BUDGET_S = 9.0
+# Twice the bound of the rule lost-flow-reset-late.
+LONG_BUDGET_S = 12.0
+# One in so many long flows sends seldom, so that some lost flows are looked up
+# seconds after their loss.
+SELDOM_SHARE, SELDOM_PAUSE_S = 4, 4.0
 FIRST_PORT, PORTS = 1_024, 60_000
 # More requests than end within the time that ``Callers.failures`` looks at.
 MAX_RECENT = 2_000
@@ -43,6 +47,9 @@
         began_at: Time of the first SYN, seconds.
         first_ack: Acknowledgement of the SYN+ACK, which identifies the holder.
         balancers: Names of the balancers that got a SYN of the flow.
+        balancer: Name of the balancer to which the last packet was sent.
+        waits_since: Time of the first packet with the present request, seconds;
+            None if the flow waits for no answer.
     """
 
     def __init__(self, key: bytes, out: router.Router, isn: int) -> None:
@@ -50,6 +57,8 @@
         self.state = "opening"
         self.first_ack = self._ack = 0
         self.balancers: set[str] = set()
+        self.balancer = ""
+        self.waits_since: float | None = None
         self._out = out
         self._next_seq = isn
         self._answered: set[str] = set()
@@ -57,10 +66,10 @@
         self._now = asyncio.get_running_loop().time
         self.began_at = self._now()
 
-    def _send(self, flags: int, seq: int, ack: int, body: bytes = b"") -> str:
+    def _send(self, flags: int, seq: int, ack: int, body: bytes = b"") -> None:
         caller, route = network.ends_of(self.key)
         data = network.encode(caller, route, flags, seq, ack, body)
-        return self._out.send(self.key, data)
+        self.balancer = self._out.send(self.key, data)
 
     async def open(self) -> str:
         """Opens the flow; returns "open", "refused" or "silent"."""
@@ -68,8 +77,8 @@
             await self._wait(self.began_at + at_s, "opening")
             if self.state != "opening":
                 break
-            name = self._send(packets.SYN, self._next_seq, number)
-            self.balancers.add(name)
+            self._send(packets.SYN, self._next_seq, number)
+            self.balancers.add(self.balancer)
         await self._wait(self.began_at + SYN_TIMEOUT_S, "opening")
         if self.state == "open":
             return "open"
@@ -92,7 +101,16 @@
         body = request_id.encode()
         seq = self._next_seq
         self._next_seq = (seq + len(body)) % MODULUS
-        deadline = self._now() + budget_s
+        self.waits_since = self._now()
+        deadline = self.waits_since + budget_s
+        try:
+            return await self._exchange(request_id, body, seq, deadline)
+        finally:
+            self.waits_since = None
+
+    async def _exchange(
+        self, request_id: str, body: bytes, seq: int, deadline: float
+    ) -> str:
         for pause_s in RETRANSMIT_S:
             if self._now() >= deadline or self.state != "open":
                 break
@@ -141,6 +159,8 @@
         self, out: router.Router, checker: rules.Checker, rng: random.Random
     ) -> None:
         self.flows: dict[bytes, Flow] = {}
+        # Present flow of each long caller, by its number.
+        self.long_flows: dict[int, Flow] = {}
         self._out = out
         self._checker = checker
         self._rng = rng
@@ -225,9 +245,12 @@
         self._end(request_id, outcome)
 
     async def _run_long(self, number: int) -> None:
+        seldom = number % SELDOM_SHARE == 0
+        mean_pause_s = SELDOM_PAUSE_S if seldom else LONG_PAUSE_S
         for attempt in itertools.count():
             route, prefix = self._pick_route()
             flow = self._new_flow(route.address)
+            self.long_flows[number] = flow
             outcome = await flow.open()
             for request in itertools.count():
                 if outcome not in ("open", "answered"):
@@ -236,7 +259,7 @@
                 self._began_at[request_id] = self._now()
                 outcome = await flow.request(request_id, LONG_BUDGET_S)
                 self._end(request_id, outcome)
-                pause_s = self._rng.uniform(0.1, 1.9) * LONG_PAUSE_S
+                pause_s = self._rng.uniform(0.1, 1.9) * mean_pause_s
                 await asyncio.sleep(pause_s)
             flow.close(packets.RST)
             await asyncio.sleep(LONG_RETRY_S)
--- a/soak/daemons.py
+++ b/soak/daemons.py
@@ -11,6 +11,7 @@
 
 from crocusmux.platform import host_settings
 from soak import network
+from soak import plan
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 HEARTBEAT_S = 1.2
@@ -18,6 +19,9 @@
 # Time after which a daemon that has ended is started again.
 RESTART_DELAY_S = 0.5
 HEDGE_SHARE = 0.05
+# Time after SIGTERM within which a removed agent ends: the grace, and its calls
+# to a silent store.
+REMOVAL_TIMEOUT_S = 12.0
 
 
 class Daemon:
@@ -27,7 +31,9 @@
         name: Name of the host, "balancer" or "agent" with a number.
         away_since: Start of the present outage, seconds; None while it runs.
             An outage ends when the daemon answers a readiness check.
-        outages: Start and end of each past outage, seconds.
+        outages: Start and end of each past outage, seconds.  The first one is
+            the first start.
+        removed: The host has been removed for good.
     """
 
     def __init__(
@@ -37,17 +43,20 @@
         name: str,
         domain: str,
         service: str,
+        options: plan.Options,
     ) -> None:
         self.name = name
         self.role, _, number = name.partition("-")
         self._number = int(number)
         self.away_since: float | None = None
         self.outages: list[tuple[float, float]] = []
+        self.removed = False
         self.on_exit: Callable[[str, int], None] = lambda name, status: None
         self._net = net
         self._folder = folder
         self._domain = domain
         self._service = service
+        self._options = options
         self._first = True
         self._process: asyncio.subprocess.Process | None = None
         # True from a signal that stops the process until it runs again.
@@ -89,7 +98,7 @@
             "heartbeat_ms": HEARTBEAT_S * 1000,
             "bounds": {"grace_s": GRACE_S, "evacuate_ms": 5000},
             "bootstrap": self._first,
-            "contracts": ["health"],
+            "contracts": ["health"] if self._options.health else [],
         }
         if agent:
             settings |= {"service": self._service, "app": text("app")}
@@ -101,7 +110,7 @@
         self._task = asyncio.create_task(self._run(store))
 
     async def _run(self, store: network.Address) -> None:
-        while True:
+        while not self.removed:
             await self._run_once(store)
             await asyncio.sleep(RESTART_DELAY_S)
 
@@ -111,7 +120,8 @@
         self._first = False
         env = dict(os.environ)
         env[host_settings.SETTINGS_VARIABLE] = str(path)
-        env[host_settings.HEDGE_SHARE_VARIABLE] = str(HEDGE_SHARE)
+        share = HEDGE_SHARE if self._options.hedging else 0.0
+        env[host_settings.HEDGE_SHARE_VARIABLE] = str(share)
         self._stopped = False
         with (self._folder / f"{self.name}.log").open("ab") as log:
             cmd = (sys.executable, "-m", "crocusmux.platform", self.role)
@@ -144,6 +154,18 @@
             with contextlib.suppress(ProcessLookupError):
                 self._process.send_signal(number)
 
+    async def remove(self, number: signal.Signals) -> bool:
+        """Ends the process for good by a signal.
+
+        Returns:
+            Whether it ended within ``REMOVAL_TIMEOUT_S``.
+        """
+        assert self._task is not None
+        self.removed = True
+        self.send(number)
+        await asyncio.wait({self._task}, timeout=REMOVAL_TIMEOUT_S)
+        return self._task.done()
+
     async def close(self) -> None:
         """Ends the process for good."""
         if self._task is not None:
--- a/soak/router.py
+++ b/soak/router.py
@@ -36,7 +36,7 @@
         self.loss = 0.0
         self.cut: set[str] = set()
         self.on_packet: Callable[[bytes], None]
-        self._hosts = hosts
+        self._hosts = list(hosts)
         self._balancers = [x for x in hosts if x.role == "balancer"]
         self._rng = rng
         self._fetch = http.make_fetch()
@@ -54,6 +54,15 @@
         for sock in self._sockets.values():
             sock.close()
 
+    def add(self, daemon: daemons.Daemon) -> None:
+        """Checks the readiness of a new daemon too."""
+        self._hosts.append(daemon)
+        self._misses[daemon.name] = MAX_MISSES
+
+    def remove(self, daemon: daemons.Daemon) -> None:
+        """Forgets a daemon that has been removed for good."""
+        self._hosts.remove(daemon)
+
     def rotation(self) -> list[daemons.Daemon]:
         """Returns the ready balancers, or all if less than half are ready."""
         known = self._balancers
@@ -62,8 +71,9 @@
 
     def all_ready(self) -> bool:
         """Returns True if all daemons answer their readiness checks."""
-        away = any(daemon.away_since for daemon in self._hosts)
-        return not away and not any(self._misses.values())
+        return not any(
+            x.away_since or self._misses[x.name] for x in self._hosts
+        )
 
     def send(self, key: bytes, data: bytes) -> str:
         """Sends a caller's packet; returns the name of its balancer."""
--- a/soak/rules.py
+++ b/soak/rules.py
@@ -18,6 +18,11 @@
 # Bounds in seconds (source: docs/design/overload.md, part E).
 CONFIG_BOUND_S = 5.0
 EVACUATION_BOUND_S = 5.0
+# Bound for the reset of a lost flow (source: docs/design/slow-answers.md, part
+# E).
+LOST_FLOW_BOUND_S = 6.0
+# Name of the trouble while packets between callers and hosts are dropped.
+NETWORK = "network"
 # Outage after which the balancers may count an agent as lost and reset its
 # flows.
 AGENT_LOST_S = core_upstreams.FIRST_REPORT_TIMEOUT_S
@@ -75,6 +80,11 @@
         self._absent_until: dict[network.Address, float] = {}
         self._runs: dict[str, str] = {}
         self._refused: set[bytes] = set()
+        # Lost flows that wait for an answer: the name of their balancer, and
+        # since when both has been so.  Reported ones have an infinite time.
+        self._lost: dict[bytes, tuple[str, float]] = {}
+        # Time at which the last host of each service was lost for good.
+        self._host_lost_at: dict[str, float] = {}
 
     def close(self) -> None:
         """Closes the log."""
@@ -89,7 +99,10 @@
 
     @contextlib.contextmanager
     def trouble(self, name: str) -> Iterator[None]:
-        """Records that a balancer, or "all", cannot use the store meanwhile."""
+        """Records that a balancer, or "all", cannot use the store meanwhile.
+
+        The name ``NETWORK`` stands for lost packets of callers.
+        """
         self._troubles[name] += 1
         yield
         self._troubles[name] -= 1
@@ -98,11 +111,16 @@
     def _connected_since(self, name: str) -> float:
         """Returns since when a balancer has been up and connected."""
         daemon = self._hosts[name]
-        cut_off = self._troubles[name] or self._troubles["all"]
-        if daemon.away_since is not None or cut_off:
+        if daemon.away_since is not None:
+            return self._now()
+        calm_since = self._calm_since(name, "all")
+        return max([calm_since, *(end for _, end in daemon.outages[-1:])])
+
+    def _calm_since(self, *names: str) -> float:
+        """Returns since when there has been no trouble of these names."""
+        if any(self._troubles[name] for name in names):
             return self._now()
-        ends = [self._trouble_ended_at.get(x, 0.0) for x in (name, "all")]
-        return max(*ends, *(end for _, end in daemon.outages[-1:]))
+        return max(self._trouble_ended_at.get(name, 0.0) for name in names)
 
     def report(self, rule: str, flow: str, detail: str) -> None:
         """Records a broken rule."""
@@ -193,6 +211,59 @@
             age_s = self._now() - found.began_at
             self.report("open-flow-reset", flow, f"holder={name} {age_s=:.2f}")
 
+    def on_host_lost(self, service: str) -> None:
+        """Records that a host has ended without a word, for good."""
+        self._host_lost_at[service] = self._now()
+
+    def check_lost(self, found: Any) -> None:
+        """Checks that a ``callers.Flow`` does not wait too long for a reset.
+
+        Call it every few tenths of a second for each long flow: the time counts
+        from the first call that finds the flow lost and its caller waiting.
+        """
+        key, waits = found.key, found.waits_since is not None
+        lost = self._find_holder(key, found.first_ack) is None
+        if not (lost and waits and found.state == "open"):
+            self._lost.pop(key, None)
+            return
+        now = self._now()
+        if self._lost.setdefault(key, (found.balancer, now))[0] != (
+            found.balancer
+        ):
+            self._lost[key] = (found.balancer, now)
+        lost_at = self._lost[key][1]
+        _, address = network.ends_of(key)
+        if self._absent_until.get(address, 0.0) >= found.began_at:
+            return
+        since = max(
+            lost_at,
+            self._connected_since(found.balancer),
+            self._calm_since(NETWORK),
+            *map(self._hosts_back_at, self._services[address]),
+        )
+        if now - since > LOST_FLOW_BOUND_S:
+            self._lost[key] = (found.balancer, math.inf)
+            detail = f"balancer={found.balancer} waits_s={now - since:.2f}"
+            flow = segments.format_flow_key(key)
+            self.report("lost-flow-reset-late", flow, detail)
+
+    def _hosts_back_at(self, service: str) -> float:
+        """Returns since when all hosts of a service have been back.
+
+        Hosts that were removed in order, or that start for the first time, do
+        not count: they say goodbye, and hold no flow yet.
+        """
+        back_at = [self._host_lost_at.get(service, 0.0)]
+        for upstream in self._upstreams.values():
+            agent = upstream.daemon
+            if upstream.service != service or not agent.outages:
+                continue
+            if agent.away_since is not None or upstream.restarted_at is None:
+                return self._now()
+            back_at.append(upstream.restarted_at)
+            back_at += [end for _, end in agent.outages[1:]]
+        return max(back_at)
+
     def _find_holder(
         self, key: bytes, first_ack: int
     ) -> upstreams.Upstream | None:
--- a/soak/system.py
+++ b/soak/system.py
@@ -47,20 +47,20 @@
 class System:
     """Daemons, store, router, upstreams and callers of one run."""
 
-    def __init__(self, folder: pathlib.Path, seed: int) -> None:
-        rng = random.Random(seed)
+    def __init__(
+        self, folder: pathlib.Path, seed: int, options: plan.Options
+    ) -> None:
+        self._folder = folder
+        self._options = options
+        self._rng = rng = random.Random(seed)
         self._now = now = asyncio.get_running_loop().time
         self._net = network.Network()
         self._store = store.FaultyStore(self._net.ip("store", 1))
-        self._daemons = {
-            name: daemons.Daemon(self._net, folder, name, domain, service)
-            for name, (domain, service) in plan.HOSTS.items()
-        }
-        self._upstreams = {
-            name: upstreams.Upstream(self._daemons[name], *place, rng)
-            for name, place in plan.HOSTS.items()
-            if name.startswith("agent")
-        }
+        self._daemons: dict[str, daemons.Daemon] = {}
+        # Without those that were removed or lost for good.
+        self._upstreams: dict[str, upstreams.Upstream] = {}
+        for name, place in plan.HOSTS.items():
+            self._add_host(name, place)
         hosts = list(self._daemons.values())
         log = folder / "soak.log"
         self.checker = rules.Checker(now, log, hosts, self._upstreams)
@@ -72,11 +72,20 @@
         self._version = 0
         self._fetch = http.make_fetch()
         self._tasks: set[asyncio.Task] = set()
-        for daemon in hosts:
-            daemon.on_exit = self.checker.on_exit
-        for upstream in self._upstreams.values():
-            upstream.on_opening = self.checker.on_opening
-            upstream.on_run = self.checker.on_run
+
+    def _add_host(self, name: str, place: tuple[str, str]) -> daemons.Daemon:
+        """Adds a daemon, and the upstream beside it, if it is an agent."""
+        daemon = daemons.Daemon(
+            self._net, self._folder, name, *place, self._options
+        )
+        daemon.on_exit = lambda *args: self.checker.on_exit(*args)
+        self._daemons[name] = daemon
+        if daemon.role == "agent":
+            upstream = upstreams.Upstream(daemon, *place, self._rng)
+            upstream.on_opening = lambda *args: self.checker.on_opening(*args)
+            upstream.on_run = lambda *args: self.checker.on_run(*args)
+            self._upstreams[name] = upstream
+        return daemon
 
     async def start(self) -> None:
         """Starts all parts, and waits until all daemons serve."""
@@ -89,6 +98,7 @@
         await self._wait_for_start(self._router.all_ready)
         process.start_task(self._tasks, self._watch_stalls())
         process.start_task(self._tasks, self._watch_versions())
+        process.start_task(self._tasks, self._watch_lost_flows())
         self._callers.start()
         await self._wait_for_start(self._calm)
 
@@ -154,13 +164,16 @@
             "config": self._change_routes,
             "domain": self._evacuate,
             "network": self._lose_packets,
+            "pair": self._remove_pair,
+            "power": self._lose_power,
         }
         await inject.get(group, self._disturb_daemon)(fault, action)
 
     async def _lose_packets(self, fault: plan.Fault, action: str) -> None:
         self._router.loss = fault.degree * MAX_LOSS
-        await asyncio.sleep(fault.duration_s)
-        self._router.loss = 0.0
+        with self.checker.trouble(rules.NETWORK):
+            await asyncio.sleep(fault.duration_s)
+            self._router.loss = 0.0
 
     async def _disturb_store(self, fault: plan.Fault, action: str) -> None:
         self._store.set_fault(action, fault.degree)
@@ -176,6 +189,39 @@
         await asyncio.sleep(fault.duration_s / 2)
         upstream.start()
 
+    async def _remove_pair(self, fault: plan.Fault, action: str) -> None:
+        """Removes a host for good: in order, with a successor, or at once."""
+        upstream = self._upstreams[fault.target]
+        if action == "replace":
+            await upstream.drain(fault.duration_s)
+        del self._upstreams[fault.target]
+        self._router.remove(upstream.daemon)
+        upstream.crash()
+        if action == "lose":
+            self.checker.on_host_lost(upstream.service)
+            await upstream.daemon.remove(signal.SIGKILL)
+            return
+        place = (upstream.domain, upstream.service)
+        successor = self._add_host(fault.successor, place)
+        self._router.add(successor)
+        successor.start(self._store.address)
+        self._upstreams[fault.successor].start()
+        if not await upstream.daemon.remove(signal.SIGTERM):
+            detail = "does not end after SIGTERM"
+            self.checker.report("daemon-ended", fault.target, detail)
+
+    async def _lose_power(self, fault: plan.Fault, action: str) -> None:
+        """Ends all daemons and upstreams; the daemons start again at once."""
+        for upstream in self._upstreams.values():
+            upstream.daemon.send(signal.SIGKILL)
+            upstream.crash()
+        for daemon in self._daemons.values():
+            if daemon.role == "balancer":
+                daemon.send(signal.SIGKILL)
+        await asyncio.sleep(fault.duration_s)
+        for upstream in self._upstreams.values():
+            upstream.start()
+
     async def _disturb_daemon(self, fault: plan.Fault, action: str) -> None:
         daemon = self._daemons[fault.target]
         if action in ("kill", "term", "stop"):
@@ -186,7 +232,7 @@
             return
         cut = action == "cut"
         blocked = self._router.cut if cut else self._store.cut_ips
-        with self.checker.trouble("none" if cut else daemon.name):
+        with self.checker.trouble(rules.NETWORK if cut else daemon.name):
             blocked.add(daemon.ip)
             await asyncio.sleep(fault.duration_s)
             blocked.discard(daemon.ip)
@@ -222,10 +268,16 @@
                 with self.checker.trouble("all"):
                     pass
 
+    async def _watch_lost_flows(self) -> None:
+        while True:
+            await asyncio.sleep(POLL_INTERVAL_S)
+            for flow in self._callers.long_flows.values():
+                self.checker.check_lost(flow)
+
     async def _watch_versions(self) -> None:
         while True:
             await asyncio.sleep(POLL_INTERVAL_S)
-            for daemon in self._daemons.values():
+            for daemon in list(self._daemons.values()):
                 if daemon.role == "balancer":
                     await self._check_version(daemon)
 
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -38,7 +38,12 @@
 
 
 class Upstream:
-    """Upstream of one host over several boots, beside the agent ``daemon``."""
+    """Upstream of one host over several boots, beside the agent ``daemon``.
+
+    Attributes:
+        restarted_at: Time of the start of the present boot, seconds; None while
+            the upstream is down, 0 during the first boot.
+    """
 
     def __init__(
         self,
@@ -52,6 +57,7 @@
         self.service = service
         self.domain = domain
         self.boot = 0
+        self.restarted_at: float | None = None
         self.held: dict[bytes, HeldFlow] = {}
         # Initial sequence numbers of flows that are not open yet.
         self.half_open: dict[bytes, int] = {}
@@ -67,6 +73,8 @@
 
     def start(self) -> None:
         """Starts a new boot, which knows no flow."""
+        now = asyncio.get_running_loop().time()
+        self.restarted_at = now if self.boot else 0.0
         self.boot += 1
         self._state = "ready"
         self._sequence = 0
@@ -81,6 +89,7 @@
             task.cancel()
         if self._socket is not None:
             self._socket.close()
+        self.restarted_at = None
         self.held.clear()
         self.half_open.clear()
 
