--- a/features/soak.feature
+++ b/features/soak.feature
@@ -8,6 +8,13 @@
     Then it ends with status 0
     And it has injected 13 faults and seen at least 300 requests
 
+  # Guards against faults of hosts that leave for good, and of a loss of power,
+  # without hedging and the contract health.
+  Scenario: A run of 6 s in which hosts leave and all lose power breaks no rule
+    When the soak test runs for 6 s with seed 45171 and plan version 2
+    Then it ends with status 0
+    And it has injected 4 faults and seen at least 150 requests
+
   # Guards against a test whose own failure looks like a broken rule or a success.
   Scenario Outline: The exit status tells <case> apart
     When <case> ends a run of the soak test
@@ -87,6 +94,7 @@
       | a lost flow that is reset after 5 s             | nothing                    |
       | a lost flow 7 s after an agent was removed      | lost-flow-reset-late       |
       | a lost flow 7 s after a new agent appeared      | lost-flow-reset-late       |
+      | a lost flow while a new agent starts for 2 s    | lost-flow-reset-late       |
       | a lost flow 5 s after an agent came back        | nothing                    |
       | a lost flow 7 s after an agent came back        | lost-flow-reset-late       |
       | a lost flow 5 s after an upstream came back     | nothing                    |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -457,18 +457,30 @@
     watch(context, seconds - 5)
 
 
-@when("a lost flow {seconds:d} s after a new agent appeared is observed")
-def observe_after_new_agent(context, seconds):
-    lose_flow(context)
+def add_starting_agent(context):
     third = make_upstream(context, 3, "rounds")
     third.daemon.away_since = context.clock.now
     context.upstreams["upstream-3"] = third
-    watch(context, 1)
-    third.daemon.away_since = None
-    third.daemon.outages.append((context.clock.now - 1.0, context.clock.now))
+    return third.daemon
+
+
+@when("a lost flow {seconds:d} s after a new agent appeared is observed")
+def observe_after_new_agent(context, seconds):
+    lose_flow(context)
+    agent = add_starting_agent(context)
+    watch(context, 0.5)
+    agent.outages.append((agent.away_since, context.clock.now))
+    agent.away_since = None
     watch(context, seconds - 5)
 
 
+@when("a lost flow while a new agent starts for 2 s is observed")
+def observe_while_agent_starts(context):
+    lose_flow(context)
+    add_starting_agent(context)
+    watch(context, 2)
+
+
 @when("a lost flow {seconds:d} s after an agent came back is observed")
 def observe_after_agent(context, seconds):
     lose_flow(context)
