Check that callers of lost flows are reset in the soak feature

The feature counted the faults that were injected, but a removal or a loss of power that ends no upstream would have passed.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -14,6 +14,7 @@
     When the soak test runs for 6 s with seed 45171 and plan version 2
     Then it ends with status 0
     And it has injected 4 faults and seen at least 150 requests
+    And at least 20 callers got a reset of a lost flow
 
   # Guards against a test whose own failure looks like a broken rule or a success.
   Scenario Outline: The exit status tells <case> apart
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -66,6 +66,12 @@
     assert int(counts["request"]) >= count, counts
 
 
+@then("at least {count:d} callers got a reset of a lost flow")
+def check_resets(context, count):
+    found = re.search(r"reset-without-holder=(\d+)", context.output)
+    assert found and int(found[1]) >= count, context.output
+
+
 @when("{case} ends a run of the soak test")
 def end_run(context, case):
     async def start(tested):
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -18,7 +18,7 @@
 SYN_TIMEOUT_S = 1.4
 MAX_ATTEMPTS = 3
 BUDGET_S = 5.0
-# Delays after which unanswered data is sent again.
+# Delays after which unanswered data is sent again, for longer than the budgets.
 RETRANSMIT_S = (0.2, 0.4, 0.8, *(1.6,) * 7)
 # Distance of a reset's sequence number from the caller's last acknowledgement up
 # to which it counts (source: the platform's protocol).
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -41,7 +41,7 @@
 POWER_LOSS_LEAVERS = 2
 FIRST_LEAVER_S, LAST_LEAVER_S = 3.0, 7.0
 LEAVER_DURATION_S = 1.0
-# Upstreams of a service of which none is lost for good.
+# Number of a service's upstreams from which on no further one is lost for good.
 MIN_UPSTREAMS = 2
 
 # Kind of each fault with its weight, its shortest and its longest duration in
--- a/soak/rules.py
+++ b/soak/rules.py
@@ -18,8 +18,7 @@
 # Bounds in seconds (source: docs/design/overload.md, part E).
 CONFIG_BOUND_S = 5.0
 EVACUATION_BOUND_S = 5.0
-# Bound for the reset of a lost flow (source: docs/design/slow-answers.md, part
-# E).
+# Bound for the reset of a lost flow (source: docs/design/slow-answers.md).
 LOST_FLOW_BOUND_S = 6.0
 # Name of the trouble while packets between callers and hosts are dropped.
 NETWORK = "network"
@@ -80,8 +79,8 @@
         self._absent_until: dict[network.Address, float] = {}
         self._runs: dict[str, str] = {}
         self._refused: set[bytes] = set()
-        # Lost flows that wait for an answer: the name of their balancer, and
-        # since when both has been so.  Reported ones have an infinite time.
+        # Lost flows whose callers wait, with the name of their balancer and the
+        # time since when all of this holds; infinite once it was reported.
         self._lost: dict[bytes, tuple[str, float]] = {}
         # Time at which the last host of each service was lost for good.
         self._host_lost_at: dict[str, float] = {}
@@ -221,29 +220,28 @@
         Call it every few tenths of a second for each long flow: the time counts
         from the first call that finds the flow lost and its caller waiting.
         """
-        key, waits = found.key, found.waits_since is not None
+        key, balancer = found.key, found.balancer
+        waits = found.waits_since is not None
         lost = self._find_holder(key, found.first_ack) is None
         if not (lost and waits and found.state == "open"):
             self._lost.pop(key, None)
             return
         now = self._now()
-        if self._lost.setdefault(key, (found.balancer, now))[0] != (
-            found.balancer
-        ):
-            self._lost[key] = (found.balancer, now)
+        if self._lost.get(key, ("", now))[0] != balancer:
+            self._lost[key] = (balancer, now)
         lost_at = self._lost[key][1]
         _, address = network.ends_of(key)
         if self._absent_until.get(address, 0.0) >= found.began_at:
             return
         since = max(
             lost_at,
-            self._connected_since(found.balancer),
+            self._connected_since(balancer),
             self._calm_since(NETWORK),
             *map(self._hosts_back_at, self._services[address]),
         )
         if now - since > LOST_FLOW_BOUND_S:
-            self._lost[key] = (found.balancer, math.inf)
-            detail = f"balancer={found.balancer} waits_s={now - since:.2f}"
+            self._lost[key] = (balancer, math.inf)
+            detail = f"{balancer=!s} waits_s={now - since:.2f}"
             flow = segments.format_flow_key(key)
             self.report("lost-flow-reset-late", flow, detail)
 
--- a/soak/system.py
+++ b/soak/system.py
@@ -211,7 +211,7 @@
             self.checker.report("daemon-ended", fault.target, detail)
 
     async def _lose_power(self, fault: plan.Fault, action: str) -> None:
-        """Ends all daemons and upstreams; the daemons start again at once."""
+        """Ends all daemons and upstreams, which start again."""
         for upstream in self._upstreams.values():
             upstream.daemon.send(signal.SIGKILL)
             upstream.crash()
