--- a/crocusmux/core/forward/hedging.py
+++ b/crocusmux/core/forward/hedging.py
@@ -8,6 +8,8 @@
 
 import math
 
+from crocusmux.core.forward import token_bucket
+
 # Lower bound of the delay; upstreams that answer are not hedged because of a
 # single late timer or context switch.
 MIN_DELAY_S = 0.03
@@ -16,43 +18,6 @@
 DELAY_MEANS = 4
 # Weight of a new sample in that moving mean.
 SAMPLE_WEIGHT = 0.05
-# Largest number of hedges beyond the share, so that a burst after a quiet time
-# stays small.
-MAX_TOKENS = 10
-# Tokens are counted in parts, as sums of floats drift.
-TOKEN_PARTS = 10**9
-
-
-class TokenBucket:
-    """Limit of the hedges as a share of the openings; starts full.
-
-    Attributes:
-        parts: Contents, ``TOKEN_PARTS`` for each token.
-    """
-
-    __slots__ = ("_parts_per_opening", "parts")
-
-    def __init__(self, share: float) -> None:
-        """Creates a full bucket.
-
-        Args:
-            share: Tokens that each opening adds, 0 to 1.
-        """
-        self._parts_per_opening = round(share * TOKEN_PARTS)
-        self.parts = MAX_TOKENS * TOKEN_PARTS
-
-    def add_opening(self) -> None:
-        """Adds the tokens of one opening."""
-        self.parts = min(
-            MAX_TOKENS * TOKEN_PARTS, self.parts + self._parts_per_opening
-        )
-
-    def take(self) -> bool:
-        """Takes a token; returns False if there is none."""
-        if self.parts < TOKEN_PARTS:
-            return False
-        self.parts -= TOKEN_PARTS
-        return True
 
 
 class Hedging:
@@ -73,7 +38,7 @@
                 disables hedging.
         """
         self.enabled = share > 0
-        self.bucket = TokenBucket(share)
+        self.bucket = token_bucket.TokenBucket(share)
         self._mean_s: float | None = None
         # Time of the offer by flow key.  Entries stay in the order of their
         # times, so that only those that are due are examined.
--- a/features/steps/hedging_steps.py
+++ b/features/steps/hedging_steps.py
@@ -18,9 +18,9 @@
 import msgspec
 
 from crocusmux.core.forward import agent
-from crocusmux.core.forward import hedging
 from crocusmux.core.forward import outputs
 from crocusmux.core.forward import reports
+from crocusmux.core.forward import token_bucket
 from crocusmux.daemons import forward_balancer
 from crocusmux.platform import __main__ as platform_main
 from features import balancer_sample
@@ -260,7 +260,7 @@
     )
     @hypothesis.given(shares, uses)
     def check(share, opens):
-        bucket = hedging.TokenBucket(share)
+        bucket = token_bucket.TokenBucket(share)
         openings = hedges = 0
         for is_opening in opens:
             if is_opening:
@@ -268,11 +268,11 @@
                 bucket.add_opening()
             else:
                 hedges += bucket.take()
-            assert 0 <= bucket.parts <= 10 * hedging.TOKEN_PARTS
+            assert 0 <= bucket.parts <= 10 * token_bucket.TOKEN_PARTS
             # Half a part may be rounded up for each opening.
-            parts = (share * hedging.TOKEN_PARTS + 0.5) * openings
-            limit = 10 * hedging.TOKEN_PARTS + parts
-            assert hedges * hedging.TOKEN_PARTS <= limit + 1, hedges
+            parts = (share * token_bucket.TOKEN_PARTS + 0.5) * openings
+            limit = 10 * token_bucket.TOKEN_PARTS + parts
+            assert hedges * token_bucket.TOKEN_PARTS <= limit + 1, hedges
 
     check()
 
