Offer new flows to upstreams with a free slot first

Cause: callers waited behind long requests while other upstreams had free slots, as balancers compare upstreams by reports that are 0.25 s old or older.

Change: the first offers of a new flow are marked (MARK_FREE_SLOT), and an agent declines them unless a slot is free (no-free-slot). The balancer offers the flow to another agent, at last to one that queues it. A token bucket limits the extra offers (CROCUSMUX_EXTRA_OFFER_SHARE, 1.0); hedges are marked too. Enabled by HostSettings.free_slot_first, which the contract health sets. explain-flow names the rule.

--- a/bench/overload.py
+++ b/bench/overload.py
@@ -14,6 +14,7 @@
 import itertools
 import random
 import statistics
+from typing import Protocol
 
 import msgspec
 
@@ -120,6 +121,23 @@
 }
 
 
+class Network(Protocol):
+    """What callers use of a model of a fleet."""
+
+    now: float
+    rng: random.Random
+    balancers: list[balancer.ForwardingBalancer]
+    flows: "dict[bytes, Request]"
+
+    def after(self, delay_s: float, call: Callable[[], None]) -> None:
+        """Calls a function later."""
+
+    def send_segment(
+        self, core: balancer.ForwardingBalancer, seg: segments.Segment
+    ) -> None:
+        """Sends a caller's segment to a balancer."""
+
+
 class Fleet:
     """Balancers, agents and callers with a common clock.
 
@@ -343,7 +361,7 @@
         answered_s: Time to its answer, seconds; None without one.
     """
 
-    def __init__(self, fleet: Fleet, route: int, load: Load) -> None:
+    def __init__(self, fleet: Network, route: int, load: Load) -> None:
         """Begins the first attempt."""
         self.load = load
         self.answered_s: float | None = None
@@ -380,7 +398,7 @@
     ) -> Callable[[], None]:
         def send() -> None:
             if self._key == key and not self._open:
-                seg = _segment(key, opening=True, ack=copy)
+                seg = make_segment(key, opening=True, ack=copy)
                 self._fleet.send_segment(core, seg)
 
         return send
@@ -400,7 +418,7 @@
         if self._key != key or self._open or elapsed_s > self.load.timeout_s:
             return
         self._open = True
-        seg = _segment(key, ack=5001, length=100)
+        seg = make_segment(key, ack=5001, length=100)
         self._fleet.send_segment(core, seg)
 
     def on_answer(self, key: bytes) -> None:
@@ -417,9 +435,10 @@
         )
 
 
-def _segment(
+def make_segment(
     key: bytes, opening: bool = False, ack: int = 0, length: int = 0
 ) -> segments.Segment:
+    """Returns a caller's segment."""
     return segments.Segment(
         key=key,
         from_caller=True,
--- a/crocusmux/core/forward/agent.py
+++ b/crocusmux/core/forward/agent.py
@@ -2,6 +2,8 @@
 
 import math
 
+import msgspec
+
 from crocusmux.core.forward import agent_flows
 from crocusmux.core.forward import heartbeats
 from crocusmux.core.forward import outputs
@@ -130,6 +132,9 @@
         flow.last_segment_at = now
         if self._unanswered_since is None and not flow.open:
             self._unanswered_since = now
+        if seg.mark == segments.MARK_FREE_SLOT:
+            # The upstream gets the same packet as without the mark.
+            seg = msgspec.structs.replace(seg, mark=segments.MARK_DIRECT)
         return [outputs.ToUpstream(seg)]
 
     def _decline_reason(self, now: float, seg: segments.Segment) -> str:
@@ -147,6 +152,9 @@
             return reports.DECLINED_OVERLOAD
         if self.lifecycle.cold(now) and not self._admits_cold(now):
             return reports.DECLINED_WARMING
+        needs_slot = seg.mark == segments.MARK_FREE_SLOT
+        if needs_slot and self.load.committed(now) >= slots:
+            return reports.DECLINED_NO_FREE_SLOT
         return ""
 
     def _admits_cold(self, now: float) -> bool:
--- a/crocusmux/core/forward/balancer.py
+++ b/crocusmux/core/forward/balancer.py
@@ -51,6 +51,7 @@
         hedge_share: float = 0.0,
         detect_outliers: bool = False,
         fair_queueing: bool = False,
+        extra_offer_share: float = 0.0,
     ) -> None:
         """Creates a balancer without routes and agents.
 
@@ -66,6 +67,9 @@
                 failing upstreams; new upstreams then count as average.
             fair_queueing: True to queue new flows behind others of their
                 service, by urgency and caller; False to offer them at once.
+            extra_offer_share: Limit of the extra offers because of declines
+                without a free slot, as a share of all openings; 0 disables
+                the requirement of a free slot.
         """
         self.routes = routes.RouteTable()
         self.agent_table = agent_table.AgentTable(failure_domain)
@@ -83,6 +87,7 @@
             hedge_share=hedge_share,
             assume_mean=detect_outliers,
             fair_queueing=fair_queueing,
+            extra_offer_share=extra_offer_share,
         )
         self._resolver = holder_resolver.HolderResolver(
             self.routes, self.agent_table, self.flows, self.evacuated
--- a/crocusmux/core/forward/explanation.py
+++ b/crocusmux/core/forward/explanation.py
@@ -6,6 +6,7 @@
 from crocusmux.core.forward import chooser
 from crocusmux.core.forward import evacuations
 from crocusmux.core.forward import flow_table
+from crocusmux.core.forward import free_slot
 from crocusmux.core.forward import openings
 from crocusmux.core.forward import routes
 from crocusmux.core.forward import selection
@@ -86,6 +87,8 @@
         hosts: Its upstreams, the most probable ones first; those with an
             unknown probability by their expected answer time.
         omitted: Number of further upstreams that are not listed.
+        free_slot_first: True if an agent without a free slot declines the first
+            offer, so that the flow goes to another one.
     """
 
     service: str
@@ -94,6 +97,7 @@
     reason: str
     hosts: tuple[HostExplanation, ...]
     omitted: int = 0
+    free_slot_first: bool = False
 
 
 class Explanation(msgspec.Struct, frozen=True):
@@ -140,6 +144,7 @@
     queue: openings.OpeningQueue,
     flow: flow_table.Flow | None,
     evacuated: evacuations.EvacuatedDomains,
+    free_slot_offers: free_slot.FreeSlotOffers,
 ) -> Explanation:
     """Returns where a new flow would be placed now.
 
@@ -154,6 +159,7 @@
         queue: Its queued new flows.
         flow: The flow of this key that the balancer knows; None without one.
         evacuated: The evacuated failure domains.
+        free_slot_offers: Which offers need a free slot.
     """
     known_hosts: tuple[str, ...] = ()
     if flow is not None:
@@ -197,6 +203,9 @@
             reason,
             tuple(hosts[:MAX_LISTED_HOSTS]),
             max(0, len(hosts) - MAX_LISTED_HOSTS),
+            outcome == PLACED
+            and free_slot_offers.required(new_flow, 0)
+            and free_slot_offers.bucket.has_token(),
         )
 
     services = tuple(
--- a/crocusmux/core/forward/flow_table.py
+++ b/crocusmux/core/forward/flow_table.py
@@ -19,6 +19,11 @@
         offered_hosts: Hosts that got the opening and did not decline it.
         busy_hosts: Hosts that declined the opening for now.
         declined_hosts: Hosts that declined the opening for good.
+        full_hosts: Those of ``busy_hosts`` that declined only because no slot
+            was free, in the order of the declines.
+        marked_hosts: Hosts of ``offered_hosts`` whose last offer had
+            ``MARK_FREE_SLOT``.
+        was_queued: True once the opening was queued at the balancer.
         opening_segment: The caller's SYN until the flow is open.
         opening_seq: Sequence number of that SYN; None without one here.
         last_segment: The newest segment while the holder is only assumed.
@@ -44,12 +49,14 @@
         "data_sent",
         "declined_hosts",
         "first_offered_at",
+        "full_hosts",
         "hedge_host",
         "holder",
         "holder_confirmed",
         "last_segment",
         "last_segment_at",
         "lookup",
+        "marked_hosts",
         "offered_at",
         "offered_hosts",
         "open",
@@ -58,6 +65,7 @@
         "opening_seq",
         "probed_at",
         "service",
+        "was_queued",
     )
 
     def __init__(self, now: float) -> None:
@@ -68,6 +76,9 @@
         self.probed_at = float("-inf")
         self.busy_hosts: set[str] = set()
         self.declined_hosts: set[str] = set()
+        self.full_hosts: list[str] = []
+        self.marked_hosts: set[str] = set()
+        self.was_queued = False
         self.opening_segment: segments.Segment | None = None
         self.opening_seq: int | None = None
         self.lookup: holder_lookup.HolderLookup | None = None
--- a/crocusmux/core/forward/holder_resolver.py
+++ b/crocusmux/core/forward/holder_resolver.py
@@ -332,17 +332,15 @@
 
 
 def to_agent(
-    seg: segments.Segment, upstream: upstreams.Upstream
+    seg: segments.Segment,
+    upstream: upstreams.Upstream,
+    mark: int = segments.MARK_DIRECT,
 ) -> outputs.ToAgent:
     """Returns the output that sends a segment to one agent."""
-    return outputs.ToAgent(
-        upstream.record.address, seg, upstream.tag, segments.MARK_DIRECT
-    )
+    return outputs.ToAgent(upstream.record.address, seg, upstream.tag, mark)
 
 
 def _make_probe(
     seg: segments.Segment, upstream: upstreams.Upstream
 ) -> outputs.ToAgent:
-    return outputs.ToAgent(
-        upstream.record.address, seg, upstream.tag, segments.MARK_PROBE
-    )
+    return to_agent(seg, upstream, segments.MARK_PROBE)
--- a/crocusmux/core/forward/placement.py
+++ b/crocusmux/core/forward/placement.py
@@ -7,6 +7,7 @@
 from crocusmux.core.forward import evacuations
 from crocusmux.core.forward import explanation
 from crocusmux.core.forward import flow_table
+from crocusmux.core.forward import free_slot
 from crocusmux.core.forward import hedging
 from crocusmux.core.forward import holder_resolver
 from crocusmux.core.forward import openings
@@ -26,6 +27,7 @@
     reports.DECLINED_BY_UPSTREAM,
     reports.DECLINED_UNKNOWN_STATE,
     reports.DECLINED_WARMING,
+    reports.DECLINED_NO_FREE_SLOT,
 )
 
 Outputs = list[outputs.Output]
@@ -50,6 +52,7 @@
         hedge_share: float,
         assume_mean: bool,
         fair_queueing: bool,
+        extra_offer_share: float,
     ) -> None:
         """Creates the placement of a balancer.
 
@@ -64,6 +67,8 @@
                 0 disables hedging.
             assume_mean: As for ``chooser.UpstreamChooser``.
             fair_queueing: As for ``openings.OpeningQueue``.
+            extra_offer_share: Limit of extra offers because of declines without
+                a free slot, as a share of all openings; 0 disables the marks.
         """
         self.openings = openings.OpeningQueue(fair_queueing)
         self._routes = route_table
@@ -79,6 +84,9 @@
             evacuated.names,
             assume_mean=assume_mean,
         )
+        self._free_slot = free_slot.FreeSlotOffers(
+            extra_offer_share, agents, self._chooser, self.openings
+        )
 
     def explain(self, now: float, key: bytes) -> explanation.Explanation:
         """Explains where a new flow would be placed; changes nothing."""
@@ -91,6 +99,7 @@
             self.openings,
             self._flows.get(key),
             self._evacuated,
+            self._free_slot,
         )
 
     def on_timer(self, now: float) -> Outputs:
@@ -124,6 +133,7 @@
     ) -> Outputs:
         """Records a caller's first packet after its opening."""
         self._hedging.cancel(seg.key)
+        self._free_slot.on_opened(flow)
         # A reset gives the opening up and acknowledges no upstream.
         if not flow.offered_hosts or seg.reset:
             return []
@@ -164,6 +174,7 @@
         if route is None:
             return self._refuse(now, seg.key, routes.REFUSED_NO_ROUTE)
         self._hedging.bucket.add_opening()
+        self._free_slot.bucket.add_opening()
         flow = self._flows.add(now, seg.key)
         flow.service = route.pick_service(self._rng.random())
         flow.opening_segment = seg
@@ -190,6 +201,7 @@
         pending = self.openings.make_pending(seg.key, flow, route)
         if not self.openings.add(now, pending):
             return self._place(now, seg, flow)
+        flow.was_queued = True
         sent: Outputs = []
         first = self.openings.first(now, flow.service)
         if first is not None:
@@ -223,19 +235,37 @@
         chosen = None
         if len(flow.offered_hosts) + len(flow.busy_hosts) < MAX_OFFERS:
             chosen = self._chooser.choose(now, seg.key, flow.service, tried)
+        if flow.full_hosts:
+            chosen = self._free_slot.choose_full(now, flow, chosen)
         if chosen is None:
             return self._on_no_upstream(now, seg, flow)
+        host = chosen.record.host
+        sent: Outputs = []
+        mark = segments.MARK_DIRECT
+        if host in flow.full_hosts:
+            flow.full_hosts.remove(host)
+            flow.busy_hosts.discard(host)
+        elif len(flow.busy_hosts) + 1 < MAX_OFFERS and self._free_slot.required(
+            flow, len(tried)
+        ):
+            if self._free_slot.mark(flow, host):
+                mark = segments.MARK_FREE_SLOT
+            else:
+                detail = f"agent={host}"
+                event = outputs.Event("extra-offer-limited", seg.key, detail)
+                sent.append(event)
         self.openings.remove(seg.key, offered=True)
         if not flow.offered_hosts:
             flow.first_offered_at = now
-        flow.offered_hosts.append(chosen.record.host)
+        flow.offered_hosts.append(host)
         flow.offered_at = now
         chosen.unreported_offers += 1
         self._register_offer(now, seg.key, flow)
         return [
-            holder_resolver.to_agent(seg, chosen),
+            holder_resolver.to_agent(seg, chosen, mark),
             self._place_event(now, seg.key, chosen, flow),
             outputs.Timing(outputs.PLACED, now - flow.opened_at),
+            *sent,
         ]
 
     def _follow_route(self, key: bytes, flow: flow_table.Flow) -> bool:
@@ -248,6 +278,7 @@
             self.openings.remove(key)
             flow.service = route.pick_service(self._rng.random())
             flow.busy_hosts.clear()
+            flow.full_hosts.clear()
             flow.declined_hosts.clear()
         return route is not None
 
@@ -270,7 +301,7 @@
             and route.repeatable
             and not flow.hedge_host
             and len(flow.offered_hosts) == 1
-            and 1 + len(flow.busy_hosts) < MAX_OFFERS
+            and 1 + len(flow.busy_hosts) - len(flow.full_hosts) < MAX_OFFERS
         )
 
     def next_hedge_at(self) -> float:
@@ -313,8 +344,13 @@
         flow.hedge_host = host
         flow.offered_hosts.append(host)
         chosen.unreported_offers += 1
+        mark = segments.MARK_DIRECT
+        if self._free_slot.enabled:
+            # A hedge that waits in a queue is of no use.
+            mark = segments.MARK_FREE_SLOT
+            flow.marked_hosts.add(host)
         return [
-            holder_resolver.to_agent(seg, chosen),
+            holder_resolver.to_agent(seg, chosen, mark),
             outputs.Event("hedge", key, f"agent={host} {after_ms}"),
         ]
 
@@ -335,6 +371,7 @@
             queued = seg.key in self.openings
             pending = self.openings.make_pending(seg.key, flow, route)
             if not reason and self.openings.add(now, pending):
+                flow.was_queued = True
                 event = self._wait_event(seg.key, flow, agents)
                 return [] if queued else [event]
         if flow.offered_hosts:
@@ -364,6 +401,7 @@
         """Offers a queued flow; it stays queued if no upstream is left."""
         flow = pending.flow
         flow.busy_hosts.clear()
+        flow.full_hosts.clear()
         if flow.opening_segment is None:
             return []
         return self._place(now, flow.opening_segment, flow)
@@ -376,6 +414,14 @@
         detail = f"agent={message.host} reason={message.reason}"
         if flow is None or flow.open or message.host not in flow.offered_hosts:
             return []
+        if message.reason == reports.DECLINED_NO_FREE_SLOT:
+            if message.host not in flow.marked_hosts:
+                # A late duplicate: the agent has got the opening without the
+                # mark since, and may have accepted it.
+                return []
+            flow.marked_hosts.remove(message.host)
+            flow.full_hosts.append(message.host)
+        self._free_slot.on_declined(flow, message.host)
         flow.offered_hosts.remove(message.host)
         self._record_decline(now, message)
         if message.reason in TRANSIENT_REASONS:
@@ -402,6 +448,8 @@
             upstream.back_off(now, upstreams.OVERLOAD_BACKOFF_S)
         elif message.reason == reports.DECLINED_WARMING:
             upstream.back_off(now, upstreams.WARMUP_BACKOFF_S)
+        elif message.reason == reports.DECLINED_NO_FREE_SLOT:
+            free_slot.take_back_offer(upstream)
         elif message.reason in reports.DECLINED_BY_STATE:
             upstream.avoided = True
 
--- a/crocusmux/core/forward/reports.py
+++ b/crocusmux/core/forward/reports.py
@@ -252,6 +252,8 @@
 DECLINED_OVERLOAD = "overload"
 DECLINED_SILENT = "upstream-silent"
 DECLINED_WARMING = "warming-up"
+# The offer needs a free slot and there is none; the agent would queue it.
+DECLINED_NO_FREE_SLOT = "no-free-slot"
 # The agent probes its upstream for the flow already, so its caller has gone on
 # after the opening.
 DECLINED_LATE = "late-opening"
--- a/crocusmux/core/forward/segments.py
+++ b/crocusmux/core/forward/segments.py
@@ -57,6 +57,9 @@
 MARK_DIRECT = 0
 # Probe: the agent replies whether it holds the flow.
 MARK_PROBE = 1
+# Offer of a new flow that the agent declines unless a slot is free.  Agents of
+# older releases ignore it.
+MARK_FREE_SLOT = 2
 
 
 def format_flow_key(key: bytes) -> str:
--- a/crocusmux/daemons/forward_balancer.py
+++ b/crocusmux/daemons/forward_balancer.py
@@ -88,6 +88,9 @@
             hedge_share=cfg.hedge_share,
             detect_outliers=cfg.detect_outliers,
             fair_queueing=cfg.fair_queueing,
+            extra_offer_share=(
+                cfg.extra_offer_share if cfg.free_slot_first else 0.0
+            ),
         )
         self._own_source = source
         self._stopping = False
--- a/crocusmux/forwarding.py
+++ b/crocusmux/forwarding.py
@@ -46,6 +46,10 @@
             requests.
         fair_queueing: True to queue new flows of a balancer behind others of
             their service, by urgency and caller.
+        free_slot_first: True to offer a new flow to further agents before one
+            without a free slot queues it.
+        extra_offer_share: Limit of a balancer's extra offers for that as a share
+            of all openings, 0 to 2; 0 disables them.
     """
 
     role: Literal["balancer", "agent"]
@@ -70,6 +74,8 @@
     link_mbps: float = 0.0
     detect_outliers: bool = False
     fair_queueing: bool = False
+    free_slot_first: bool = False
+    extra_offer_share: float = 1.0
 
 
 class StoredObject(msgspec.Struct, frozen=True):
--- a/crocusmux/platform/__main__.py
+++ b/crocusmux/platform/__main__.py
@@ -63,8 +63,11 @@
             peer=path,
         )
     if role == "balancer":
-        share = host_settings.hedge_share(os.environ)
-        cfg = msgspec.structs.replace(cfg, hedge_share=share)
+        cfg = msgspec.structs.replace(
+            cfg,
+            hedge_share=host_settings.hedge_share(os.environ),
+            extra_offer_share=host_settings.extra_offer_share(os.environ),
+        )
     return cfg
 
 
--- a/crocusmux/platform/host_settings.py
+++ b/crocusmux/platform/host_settings.py
@@ -15,6 +15,9 @@
 SETTINGS_VARIABLE = "CROCUSMUX_BOOT"
 # Limit of a balancer's hedged openings as a share of all its openings.
 HEDGE_SHARE_VARIABLE = "CROCUSMUX_HEDGE_SHARE"
+# Limit of a balancer's extra offers for a free slot as a share of all its
+# openings.
+EXTRA_OFFER_SHARE_VARIABLE = "CROCUSMUX_EXTRA_OFFER_SHARE"
 # Port of the metrics on each host, as in deploy/system.toml; the default of
 # OpenTelemetry's Prometheus exporters.
 METRICS_PORT = 9464
@@ -99,18 +102,41 @@
     Raises:
         errors.SettingsError: The variable is not such a number.
     """
-    text = environment.get(HEDGE_SHARE_VARIABLE, "0")
+    return _share(environment, HEDGE_SHARE_VARIABLE, 0.0, 1)
+
+
+def extra_offer_share(environment: Mapping[str, str]) -> float:
+    """Returns the limit of extra offers for a free slot.
+
+    Args:
+        environment: Environment variables of the balancer.
+
+    Returns:
+        A share of all openings from 0 to 2; 1 if the variable is absent.
+
+    Raises:
+        errors.SettingsError: The variable is not such a number.
+    """
+    return _share(environment, EXTRA_OFFER_SHARE_VARIABLE, 1.0, 2)
+
+
+def _share(
+    environment: Mapping[str, str], name: str, default: float, maximum: int
+) -> float:
+    text = environment.get(name)
+    if text is None:
+        return default
     try:
         # Python's literals, which ``float`` accepts, may contain underscores.
         share = math.nan if "_" in text else float(text)
     except ValueError:
         share = math.nan
     # A comparison with NaN is false.
-    if not 0 <= share <= 1:
+    if not 0 <= share <= maximum:
         raise errors.SettingsError(
-            f"must be a number from 0 to 1, not {text!r}",
+            f"must be a number from 0 to {maximum}, not {text!r}",
             step="check settings",
-            peer=HEDGE_SHARE_VARIABLE,
+            peer=name,
         )
     return share
 
@@ -172,4 +198,5 @@
         outbound=outbound,
         detect_outliers=HEALTH_CONTRACT in fields.contracts,
         fair_queueing=HEALTH_CONTRACT in fields.contracts,
+        free_slot_first=HEALTH_CONTRACT in fields.contracts,
     )
--- a/crocusmux/ui/explain_flow.py
+++ b/crocusmux/ui/explain_flow.py
@@ -58,6 +58,11 @@
             f"service {service.service}, share {service.share:.1%}: "
             f"{service.outcome}{reason}"
         )
+        if service.free_slot_first:
+            self.print_line(
+                "the first offer needs a free slot: an agent without one "
+                "declines it, and the flow is offered to another agent"
+            )
         if service.hosts:
             self.print_rows(_HEADS, map(_row, service.hosts))
         if service.omitted:
--- a/features/steps/decoders_steps.py
+++ b/features/steps/decoders_steps.py
@@ -449,6 +449,19 @@
         use_share,
     )
 
+    def use_extra_share(share):
+        assert 0 <= share <= 2
+
+    check_each(
+        count,
+        numbers,
+        lambda text: host_settings.extra_offer_share(
+            {host_settings.EXTRA_OFFER_SHARE_VARIABLE: text}
+        ),
+        errors.SettingsError,
+        use_extra_share,
+    )
+
 
 @then("{count:d} questions where a flow would be placed get a response")
 def check_questions(context, count):
--- a/features/steps/hedging_steps.py
+++ b/features/steps/hedging_steps.py
@@ -520,33 +520,39 @@
         assert low / 1000 - 1e-6 <= delay <= high / 1000, context.delays
 
 
+SETTINGS = {
+    "node_name": "edge-1",
+    "machine_class": "edge",
+    "ip": "10.1.0.10",
+    "zone": "abay",
+    "listen": {
+        "data_addr": "10.1.0.10:8172",
+        "readiness": "10.1.0.10:8167",
+        "control": "10.1.0.10:8166",
+    },
+    "port_range": [7720, 7735],
+    "platform": {"address": "10.200.1.7:8169"},
+}
+
+
 @given("a settings file of a balancer")
 def settings_file(context):
     folder = tempfile.TemporaryDirectory()
     context.add_cleanup(folder.cleanup)
     context.path = str(pathlib.Path(folder.name) / "settings.json")
-    settings = {
-        "node_name": "edge-1",
-        "machine_class": "edge",
-        "ip": "10.1.0.10",
-        "zone": "abay",
-        "listen": {
-            "data_addr": "10.1.0.10:8172",
-            "readiness": "10.1.0.10:8167",
-            "control": "10.1.0.10:8166",
-        },
-        "port_range": [7720, 7735],
-        "platform": {"address": "10.200.1.7:8169"},
-    }
-    pathlib.Path(context.path).write_text(json.dumps(settings))
+    pathlib.Path(context.path).write_text(json.dumps(SETTINGS))
 
 
 @when("the balancer starts with CROCUSMUX_HEDGE_SHARE {value}")
 def start_main(context, value):
+    start_with(context, "CROCUSMUX_HEDGE_SHARE", value)
+
+
+def start_with(context, variable, value):
+    """Starts a balancer with an environment variable."""
     environment = {"CROCUSMUX_BOOT": context.path}
     if value != "absent":
-        share = "" if value == "empty" else value
-        environment["CROCUSMUX_HEDGE_SHARE"] = share
+        environment[variable] = "" if value == "empty" else value
     context.errors = io.StringIO()
     with (
         mock.patch.dict(os.environ, environment),
