Test the line of explain-flow about free slots

Cause: no test covered the text that the command prints for the rule.

Change: a scenario with daemons, with and without the rule.

--- a/features/free_slot.feature
+++ b/features/free_slot.feature
@@ -293,6 +293,16 @@
       | 100     | 1     | does not say  |
       | 0       | 6     | does not say  |
 
+  Scenario Outline: The command prints the rule
+    Given daemons on a store, with the rule <state>
+    When ana explains the flow "100.64.0.7:40001" at balancer 1
+    Then the text <says> that the first offer needs a free slot
+
+    Examples:
+      | state | says         |
+      | on    | says         |
+      | off   | does not say |
+
   # Guards against long answers on a usual day: 22 balancers, 46 upstreams of 2 slots,
   # requests of 63 ms of which 3 in 100 take 7 times as long, at 55 percent of the
   # capacity.  A long request, of 441 ms, meets the goal of 512 ms if it waits for up
--- a/features/steps/forward_path_steps.py
+++ b/features/steps/forward_path_steps.py
@@ -123,6 +123,7 @@
         first_start=getattr(context, "first_start", True),
         evacuations=getattr(context, "evacuations", False),
         hedge_share=getattr(context, "hedge_share", 0.0),
+        free_slot_first=getattr(context, "free_slot_first", False),
         service=service_of(context, number) if role == "agent" else "",
         upstream=(ip, port["app"]) if role == "agent" else ("", 0),
         outbound=(ip, port["outbound"]) if role == "agent" else ("", 0),
--- a/features/steps/free_slot_steps.py
+++ b/features/steps/free_slot_steps.py
@@ -16,6 +16,7 @@
 from crocusmux.platform import host_settings
 from features import balancer_sample
 from features import upstream_sample
+from features.steps import forward_path_steps
 from features.steps import heartbeats_steps
 from features.steps import hedging_steps
 
@@ -527,6 +528,18 @@
     assert context.explained == (says == "says")
 
 
+@given("daemons on a store, with the rule {state}")
+def daemons(context, state):
+    context.free_slot_first = state == "on"
+    forward_path_steps.whole_path(context)
+
+
+@then("the text {says} that the first offer needs a free slot")
+def text_says(context, says):
+    assert context.status == 0, context.err
+    assert ("needs a free slot" in context.out) == (says == "says")
+
+
 @then("so does its first offer")
 def first_offer_agrees(context):
     open_flow(context, 0)
