--- a/features/steps/hedging_steps.py
+++ b/features/steps/hedging_steps.py
@@ -18,9 +18,9 @@
 import msgspec
 
 from crocusmux.core.forward import agent
-from crocusmux.core.forward import hedging
 from crocusmux.core.forward import outputs
 from crocusmux.core.forward import reports
+from crocusmux.core.forward import token_bucket
 from crocusmux.daemons import forward_balancer
 from crocusmux.platform import __main__ as platform_main
 from features import balancer_sample
@@ -260,7 +260,7 @@
     )
     @hypothesis.given(shares, uses)
     def check(share, opens):
-        bucket = hedging.TokenBucket(share)
+        bucket = token_bucket.TokenBucket(share)
         openings = hedges = 0
         for is_opening in opens:
             if is_opening:
@@ -268,11 +268,11 @@
                 bucket.add_opening()
             else:
                 hedges += bucket.take()
-            assert 0 <= bucket.parts <= 10 * hedging.TOKEN_PARTS
+            assert 0 <= bucket.parts <= 10 * token_bucket.TOKEN_PARTS
             # Half a part may be rounded up for each opening.
-            parts = (share * hedging.TOKEN_PARTS + 0.5) * openings
-            limit = 10 * hedging.TOKEN_PARTS + parts
-            assert hedges * hedging.TOKEN_PARTS <= limit + 1, hedges
+            parts = (share * token_bucket.TOKEN_PARTS + 0.5) * openings
+            limit = 10 * token_bucket.TOKEN_PARTS + parts
+            assert hedges * token_bucket.TOKEN_PARTS <= limit + 1, hedges
 
     check()
 
@@ -520,33 +520,39 @@
         assert low / 1000 - 1e-6 <= delay <= high / 1000, context.delays
 
 
+SETTINGS = {
+    "node_name": "edge-1",
+    "machine_class": "edge",
+    "ip": "10.1.0.10",
+    "zone": "abay",
+    "listen": {
+        "data_addr": "10.1.0.10:8172",
+        "readiness": "10.1.0.10:8167",
+        "control": "10.1.0.10:8166",
+    },
+    "port_range": [7720, 7735],
+    "platform": {"address": "10.200.1.7:8169"},
+}
+
+
 @given("a settings file of a balancer")
 def settings_file(context):
     folder = tempfile.TemporaryDirectory()
     context.add_cleanup(folder.cleanup)
     context.path = str(pathlib.Path(folder.name) / "settings.json")
-    settings = {
-        "node_name": "edge-1",
-        "machine_class": "edge",
-        "ip": "10.1.0.10",
-        "zone": "abay",
-        "listen": {
-            "data_addr": "10.1.0.10:8172",
-            "readiness": "10.1.0.10:8167",
-            "control": "10.1.0.10:8166",
-        },
-        "port_range": [7720, 7735],
-        "platform": {"address": "10.200.1.7:8169"},
-    }
-    pathlib.Path(context.path).write_text(json.dumps(settings))
+    pathlib.Path(context.path).write_text(json.dumps(SETTINGS))
 
 
 @when("the balancer starts with CROCUSMUX_HEDGE_SHARE {value}")
 def start_main(context, value):
+    start_with(context, "CROCUSMUX_HEDGE_SHARE", value)
+
+
+def start_with(context, variable, value):
+    """Starts a balancer with an environment variable."""
     environment = {"CROCUSMUX_BOOT": context.path}
     if value != "absent":
-        share = "" if value == "empty" else value
-        environment["CROCUSMUX_HEDGE_SHARE"] = share
+        environment[variable] = "" if value == "empty" else value
     context.errors = io.StringIO()
     with (
         mock.patch.dict(os.environ, environment),
