--- a/crocusmux/core/forward/upstreams.py
+++ b/crocusmux/core/forward/upstreams.py
@@ -199,6 +199,7 @@
         self.first_request_at = float("-inf")
         self.requested_at = float("-inf")
         self.unresponsive = False
+        self.withdrawn_incarnation: int | None = None
 
     def record_message(self, now: float) -> None:
         """Records a message, which answers all queries and requests."""
@@ -219,7 +220,6 @@
         self.unanswered_requests += 1
         if self.unanswered_since is None:
             self.unanswered_since = now
-        self.withdrawn_incarnation: int | None = None
 
     def announced_at(self) -> int:
         """Returns the revision that orders the records of one address.
--- a/features/silent_agents.feature
+++ b/features/silent_agents.feature
@@ -7,7 +7,7 @@
     Given 12 agents that report every <interval> s
     When agent a1 ends and its record is deleted
     And a caller sends on a flow that no upstream holds
-    And 2.5 s pass at the balancer
+    And 2.5 s pass in the fleet
     Then agent a1 was asked for a report 3 times or more
     And the caller was reset within 1.4 s
     And the balancer has dropped agent a1
@@ -23,10 +23,10 @@
   Scenario: An agent that ends some time after its record was deleted is lost soon
     Given 12 agents that report every 3.4 s
     When the record of agent a1 is deleted
-    And 0.6 s pass at the balancer
+    And 0.6 s pass in the fleet
     And agent a1 ends
     And a caller sends on a flow that no upstream holds
-    And 2.5 s pass at the balancer
+    And 2.5 s pass in the fleet
     Then the caller was reset within 1.5 s
 
   # Guards against fault FLOW (a): a late deletion by a former incarnation removed
@@ -35,7 +35,7 @@
     Given 12 agents that report every 3.4 s
     When the record of agent a1 is deleted
     And a caller sends on a flow that agent a1 holds
-    And 8 s pass at the balancer
+    And 8 s pass in the fleet
     Then the caller was answered
     And the balancer knows all agents
 
@@ -46,23 +46,23 @@
     When agent a1 is of a newer incarnation than its record
     And agent a1 ends and its record is deleted
     And a caller sends on a flow that agent a1 holds
-    And 3.5 s pass at the balancer
+    And 3.5 s pass in the fleet
     And agent a1 starts again
-    And 2 s pass at the balancer
+    And 2 s pass in the fleet
     Then the caller was answered
 
   # Guards against fault FLOW (a): the balancer was suspended for longer than an
   # agent may be silent, and counted all agents as lost when it was resumed.
   Scenario Outline: A balancer that was suspended counts no running agent as lost
     Given 12 agents that report every <interval> s
-    When 1 s pass at the balancer
+    When 1 s pass in the fleet
     And the record of agent a2 is deleted
     And the balancer is suspended for <seconds> s
     And agent a1 ends
     And a caller sends on a flow that agent a1 holds
-    And 3.5 s pass at the balancer
+    And 3.5 s pass in the fleet
     And agent a1 starts again
-    And 2 s pass at the balancer
+    And 2 s pass in the fleet
     Then the caller was answered
     And the balancer knows all agents
 
@@ -77,9 +77,9 @@
   Scenario: The list of agents is read soon for a second lost flow
     Given 12 agents that report every 3.4 s
     When a caller sends on a flow that no upstream holds
-    And 0.15 s pass at the balancer
+    And 0.15 s pass in the fleet
     And a caller sends on a flow that no upstream holds
-    And 2 s pass at the balancer
+    And 2 s pass in the fleet
     Then the caller was reset within 0.277 s
 
   # Guards against a call to the store for each lost flow, and against callers that
@@ -96,7 +96,7 @@
     Given 12 agents that report every 3.4 s
     When agent a1 ends
     And a caller sends on a flow that no upstream holds
-    And 1.2 s pass at the balancer
+    And 1.2 s pass in the fleet
     Then agent a1 was asked for a report 4 times or more
     And no other agent was asked for a report
 
@@ -106,7 +106,7 @@
     Given 12 agents that report every <interval> s
     When agent a1 ends <when> its next report
     And a caller sends on a flow that no upstream holds
-    And 6 s pass at the balancer
+    And 6 s pass in the fleet
     Then the caller was reset within 5 s
 
     Examples:
@@ -121,9 +121,9 @@
     Given 12 agents that report every <interval> s
     When agent a1 ends <when> its next report
     And a caller sends on a flow that agent a1 holds
-    And 3.5 s pass at the balancer
+    And 3.5 s pass in the fleet
     And agent a1 starts again
-    And 2 s pass at the balancer
+    And 2 s pass in the fleet
     Then the caller was answered
 
     Examples:
@@ -138,9 +138,9 @@
     Given 12 agents that report every 3.4 s
     When the balancer hears from <count> agents only
     And a caller sends on a flow that agent a1 holds
-    And 5.1 s pass at the balancer
+    And 5.1 s pass in the fleet
     And the balancer hears from all agents again
-    And 3 s pass at the balancer
+    And 3 s pass in the fleet
     Then the caller was answered
 
     Examples:
@@ -166,7 +166,7 @@
     And agent a1 ends <when> its next report
     And agent a2 ends
     And a caller sends on a flow that agent a3 holds
-    And 3 s pass at the balancer
+    And 3 s pass in the fleet
     Then the caller was answered within 0.85 s
     And each other upstream got at most 1 segments of it
 
@@ -183,9 +183,9 @@
     And all upstreams <answer> segments of unknown flows
     And agent a1 ends long before its next report
     And a caller sends on a flow that agent a1 holds
-    And 3.5 s pass at the balancer
+    And 3.5 s pass in the fleet
     And agent a1 starts again
-    And 3 s pass at the balancer
+    And 3 s pass in the fleet
     Then the caller was answered
     And each other upstream got at most 2 segments of it in 2 s
 
@@ -204,6 +204,6 @@
     Given 60 agents that report every 3.4 s
     When all agents are uncertain
     And a caller sends on a flow whose holder is certain and is queried last, and the first agent queried ends
-    And 3 s pass at the balancer
+    And 3 s pass in the fleet
     Then the caller was answered
     And each other upstream got at most 0 segments of it
--- a/features/steps/silent_agents_steps.py
+++ b/features/steps/silent_agents_steps.py
@@ -57,7 +57,7 @@
     context.fleet.agents[host].held.add(context.key)
 
 
-@when("{seconds:g} s pass at the balancer")
+@when("{seconds:g} s pass in the fleet")
 def pass_time(context, seconds):
     context.fleet.run(seconds)
 
