Learn the end of an evacuation from any balancer of the newest revision

Cause: found in the review of the diff. An agent that restarts just after an evacuation ignored the time of its end if a balancer that has started since was heard first, as both name the same revision, so its cold upstream was not limited until the next heartbeat.

Change: news of the known revision is applied as well. The new scenario failed before and passes now.

--- a/crocusmux/core/forward/warmup.py
+++ b/crocusmux/core/forward/warmup.py
@@ -84,13 +84,13 @@
         self._known_at = -1
 
     def learn(self, now: float, state: reports.DomainState | None) -> None:
-        """Applies what a balancer tells if it is newer than what is known.
+        """Applies what a balancer tells unless it is older than what is known.
 
-        A balancer that has lost the store goes on to tell what it knew.
+        A balancer that has lost the store goes on to tell what it knew.  Of two
+        with the same revision, only one that ran at the end knows when it was.
         """
-        if state is None or state.revision <= self._known_at:
+        if state is None or state.revision < self._known_at:
             return
-        self._known_at = state.revision
         if not state.evacuated:
             if state.ended_s is not None:
                 self._ended_at = max(self._ended_at, now - state.ended_s)
@@ -98,6 +98,7 @@
                 # The balancer started after the end.
                 self._ended_at = now
         self._evacuated = state.evacuated
+        self._known_at = state.revision
 
     def may_be_cold(self, heartbeat_at: float) -> bool:
         """Returns True if the newest heartbeat may precede the end.
--- a/features/forward_warmup.feature
+++ b/features/forward_warmup.feature
@@ -67,3 +67,11 @@
     And abay is taken back into use at 3.65 s, cold for 2 s
     And nothing else happens at 4 s
     Then most openings from 3.8 to 4.8 s reach the upstreams of abay
+
+  # Guards against an agent that takes its upstream as warm because the first balancer
+  # that it hears after a restart has started after the end of the evacuation.
+  Scenario: The time of the end counts from any balancer that knows it
+    Given an agent that was told of no evacuation
+    When a balancer tells that the domain is not evacuated, at revision 7
+    And a balancer tells that the evacuation ended 1 s ago, at revision 7
+    Then a heartbeat of 1.1 s ago does not tell that the upstream is warm
--- a/features/steps/forward_warmup_steps.py
+++ b/features/steps/forward_warmup_steps.py
@@ -15,6 +15,7 @@
 from crocusmux.core.forward import heartbeats
 from crocusmux.core.forward import outputs
 from crocusmux.core.forward import reports
+from crocusmux.core.forward import warmup
 from features import balancer_sample
 from features.steps import forward_agent_steps
 
@@ -392,3 +393,33 @@
         for domain, hosts in context.fleet.hosts.items()
     }
     assert counts["abay"] > counts["enbek"], counts
+
+
+@given("an agent that was told of no evacuation")
+def create_news(context):
+    context.now = 100.0
+    context.news = warmup.EvacuationNews(1.2)
+
+
+@when(
+    "a balancer tells that the domain is not evacuated, at revision {number:d}"
+)
+def tell_not_evacuated(context, number):
+    state = reports.DomainState(False, number, None)
+    context.news.learn(context.now, state)
+
+
+@when(
+    "a balancer tells that the evacuation ended {seconds:g} s ago,"
+    " at revision {number:d}"
+)
+def tell_end(context, seconds, number):
+    state = reports.DomainState(False, number, seconds)
+    context.news.learn(context.now, state)
+
+
+@then(
+    "a heartbeat of {seconds:g} s ago does not tell that the upstream is warm"
+)
+def check_may_be_cold(context, seconds):
+    assert context.news.may_be_cold(context.now - seconds)
