Ask agents that have withdrawn for no reports

An agent that withdrew while it was queried was asked for a report every 0.25 s, and logged as unresponsive after 4.25 s, although it was logged as withdrawn already.

Change: agents that have withdrawn are not watched. The new scenario failed before and passes now.

--- a/crocusmux/core/forward/liveness.py
+++ b/crocusmux/core/forward/liveness.py
@@ -127,9 +127,10 @@
             upstream
             for upstream in self._watched.values()
             if not upstream.unresponsive
+            and upstream.withdrawn_incarnation is None
             and (
                 _left_requests_unanswered(now, upstream)
-                or _lost_with_record(now, upstream)
+                or _ended_after_deletion(now, upstream)
             )
         ]
         if not marked or now < self._next_mark_at:
@@ -163,6 +164,8 @@
 
 
 def _needs_requests(now: float, upstream: upstreams.Upstream) -> bool:
+    if upstream.withdrawn_incarnation is not None:
+        return False
     if upstream.unanswered_since is None:
         return upstream.gone_at > 0
     return (
@@ -191,7 +194,7 @@
     )
 
 
-def _lost_with_record(now: float, upstream: upstreams.Upstream) -> bool:
+def _ended_after_deletion(now: float, upstream: upstreams.Upstream) -> bool:
     """Returns True if an agent has ended after its record was deleted.
 
     A late deletion by a former incarnation proves nothing, as the one that
--- a/features/departed_agents.feature
+++ b/features/departed_agents.feature
@@ -142,6 +142,15 @@
     And agent a withdraws as incarnation 1
     Then agents b, c are probed for it
 
+  # Guards against requests for reports to an agent that has exited, which left a
+  # query unanswered before.
+  Scenario: An agent that withdraws while it is queried is not asked for reports
+    Given a balancer with the agents a, b, c of rounds and d of wheelbook
+    When a segment of an unknown flow to rounds arrives
+    And agent a withdraws as incarnation 1
+    And 0.4 s pass at the balancer
+    Then agent a gets no message
+
   # Guards against segments sent to an agent that has exited, until the store tells
   # that its record is gone.
   Scenario: The flow of an agent that withdrew is looked up
