Ignore a late decline of a copy that was sent again without the mark

Cause: found in the review of the diff. A retransmitted opening goes to the same agent without the mark, but the offer stayed marked, so the decline of the first copy moved a flow that the agent had accepted since.

Change: an opening that is sent again has no mark any more.

--- a/crocusmux/core/forward/free_slot.py
+++ b/crocusmux/core/forward/free_slot.py
@@ -109,8 +109,11 @@
         flow.marked_hosts.add(host)
         return True
 
-    def on_declined(self, flow: flow_table.Flow, host: str) -> None:
-        """Ends the marked offer to a host that declined it as any other."""
+    def end_mark(self, flow: flow_table.Flow, host: str) -> None:
+        """Removes the mark of an offer, if any, and returns its token.
+
+        Not for a decline without a free slot, which uses the token up.
+        """
         # No token was taken for a hedge, as no offer follows its decline.
         if host in flow.marked_hosts and host != flow.hedge_host:
             self.bucket.give_back()
@@ -119,7 +122,7 @@
     def on_opened(self, flow: flow_table.Flow) -> None:
         """Ends the marked offers of a flow whose caller goes on."""
         for host in list(flow.marked_hosts):
-            self.on_declined(flow, host)
+            self.end_mark(flow, host)
 
 
 def take_back_offer(upstream: upstreams.Upstream) -> None:
--- a/crocusmux/core/forward/placement.py
+++ b/crocusmux/core/forward/placement.py
@@ -155,7 +155,18 @@
             return self._reoffer(now, seg, flow)
         if self.is_evacuated(flow.offered_hosts[-1]):
             return self._place_in_turn(now, seg, flow)
-        upstream = self._agent_table.get(flow.offered_hosts[-1])
+        return self._resend(seg, flow, flow.offered_hosts[-1])
+
+    def _resend(
+        self, seg: segments.Segment, flow: flow_table.Flow, host: str
+    ) -> Outputs:
+        """Sends a retransmitted opening to an upstream that may have it.
+
+        A late decline of the first copy, which may have needed a free slot, then
+        tells nothing, as the agent may accept this one.
+        """
+        self._free_slot.end_mark(flow, host)
+        upstream = self._agent_table.get(host)
         return [holder_resolver.to_agent(seg, upstream)] if upstream else []
 
     def is_evacuated(self, host: str) -> bool:
@@ -361,8 +372,7 @@
         if hosts:
             # The last upstream may still answer the caller's next SYN.
             self.openings.remove(seg.key)
-            upstream = self._agent_table.get(hosts[-1])
-            return [holder_resolver.to_agent(seg, upstream)] if upstream else []
+            return self._resend(seg, flow, hosts[-1])
         route = self._routes.find_route(seg.key)
         agents = self._agent_table.for_services((flow.service,))
         reason = chooser.REFUSED_NO_UPSTREAM
@@ -421,7 +431,8 @@
                 return []
             flow.marked_hosts.remove(message.host)
             flow.full_hosts.append(message.host)
-        self._free_slot.on_declined(flow, message.host)
+        else:
+            self._free_slot.end_mark(flow, message.host)
         flow.offered_hosts.remove(message.host)
         self._record_decline(now, message)
         if message.reason in TRANSIENT_REASONS:
--- a/features/free_slot.feature
+++ b/features/free_slot.feature
@@ -136,6 +136,15 @@
     When that agent declines it: no-free-slot
     Then nothing is sent
 
+  # Guards against a second offer of a flow that its agent has accepted: the decline
+  # is of the first copy of the opening, and the second one had no mark.
+  Scenario: A late decline of a marked copy moves no flow
+    Given a balancer that needs free slots, with 3 agents
+    When a caller opens a flow to rounds
+    And the caller retransmits its opening after 0.1 s
+    And that agent declines it: no-free-slot
+    Then nothing is sent
+
   # Guards against a flow that is lost with its upstream: its two other offers were
   # declined because of the mark alone, so that none seemed to be left.
   Scenario: A retransmission goes to an agent that had no free slot
