--- a/bench/free_slot.py
+++ b/bench/free_slot.py
@@ -29,6 +29,7 @@
 from crocusmux.core.forward import segments
 from crocusmux.core.forward import upstreams
 
+# Time of a packet between two hosts, seconds.
 HOP_S = 0.0005
 START_S = 100.0
 # Time before the requests, in which all agents report.
--- a/crocusmux/core/forward/balancer.py
+++ b/crocusmux/core/forward/balancer.py
@@ -180,7 +180,8 @@
         ]
         if begun:
             sent += self._placement.refuse_evacuated(now)
-        # Before the next opening, which the agents of these domains may limit.
+        # The agents are told at once, so that they limit the first openings after
+        # the end.
         return sent + self._subscriptions.tell_evacuations(now, begun + ended)
 
     def ready(self) -> bool:
@@ -369,5 +370,5 @@
             )
             event = outputs.Event("agent-unresponsive", b"", detail, True)
             sent.append(event)
-        self._resolver.hasten()
+        self._resolver.reset_backoff()
         return sent + self._agent_changes.remove_lost(now)
--- a/crocusmux/core/forward/config_sources.py
+++ b/crocusmux/core/forward/config_sources.py
@@ -3,8 +3,8 @@
 # Time for which a source that did not serve the version that a report named for
 # it comes after all others, seconds.
 FAILED_S = 2.0
-# Sources that are remembered; more than a fleet has balancers that differ in
-# their versions.  Reports of hosts that do not exist must not fill the memory.
+# Largest number of remembered sources.  Reports may name hosts that do not exist,
+# and must not use up the memory.
 MAX_SOURCES = 64
 
 
@@ -26,11 +26,11 @@
         if version <= self._versions.get(source, 0):
             return
         if source not in self._versions and len(self._versions) >= MAX_SOURCES:
-            oldest = min(self._versions, key=self._versions.__getitem__)
-            if self._versions[oldest] >= version:
+            lowest = min(self._versions, key=self._versions.__getitem__)
+            if self._versions[lowest] >= version:
                 return
-            del self._versions[oldest]
-            self._failed_at.pop(oldest, None)
+            del self._versions[lowest]
+            self._failed_at.pop(lowest, None)
         self._versions[source] = version
 
     def record_failure(self, now: float, source: str) -> None:
--- a/crocusmux/core/forward/flow_table.py
+++ b/crocusmux/core/forward/flow_table.py
@@ -118,6 +118,7 @@
         if seg.seq != self.opening_seq:
             known = 0
         self.opening_seq = seg.seq
+        # The ``ack`` of a SYN is the number of the copy.
         self.opening_copies = max(seg.ack, known)
 
     def superseded_by(self, seg: segments.Segment) -> bool:
--- a/crocusmux/core/forward/free_slot.py
+++ b/crocusmux/core/forward/free_slot.py
@@ -57,15 +57,15 @@
         self._openings = queue
 
     def required(self, flow: flow_table.Flow, tried: int) -> bool:
-        """Returns True if an offer other than the last one needs a free slot.
+        """Returns True if the next offer of a flow needs a free slot.
 
-        That of an opening which is queued, or follows queued ones of its
-        service, does not: all slots are taken then, so that a mark would only
-        cost messages.  Nor does that to the only agent that is left.
+        False for a flow that was queued or whose service has queued flows: all
+        slots are then taken, and a mark would only add messages.  Also False if
+        only one agent is left.
 
         Args:
             flow: The flow.
-            tried: Number of agents that were offered it before.
+            tried: Number of agents that were offered the flow or declined it.
         """
         return (
             self.enabled
--- a/crocusmux/core/forward/holder_lookup.py
+++ b/crocusmux/core/forward/holder_lookup.py
@@ -113,7 +113,7 @@
         """Returns True if the next round may begin."""
         return now - self.queried_at >= self._timeout_s
 
-    def hasten(self) -> None:
+    def reset_backoff(self) -> None:
         """Ends the backoff of rounds without a reply."""
         self._timeout_s = ROUND_TIMEOUT_S
 
@@ -270,9 +270,11 @@
         )
 
     def take_uncertain(self, now: float) -> set[str]:
-        """Returns and clears the uncertain agents, to be probed now.
+        """Returns the uncertain agents that may be probed now.
 
-        Agents that do not reply to the probe are queried again.
+        They are no longer uncertain, and are queried again if they do not reply
+        to the probe.  Agents with MAX_PROBES probes in PROBE_PERIOD_S stay
+        uncertain.
         """
         return self._take(
             now,
@@ -350,6 +352,7 @@
             self.searches += 1
         if self.searches < SEARCHES_UNTIL_LOST:
             self._rounds = 0
+            # Early probes stay allowed, as it is known which agents do not reply.
             self._queried.clear()
             self._denied_by.clear()
             self._uncertain.clear()
--- a/crocusmux/core/forward/holder_resolver.py
+++ b/crocusmux/core/forward/holder_resolver.py
@@ -144,11 +144,11 @@
                 sent += self._probe(lookup, lookup.take_early(now))
         return sent + self.send_queries(now)
 
-    def hasten(self) -> None:
-        """Lets all lookups go on at the next timer, as agents were lost."""
+    def reset_backoff(self) -> None:
+        """Lets the next rounds of all lookups begin soon, as agents were lost."""
         for flow in self._lookups.values():
             if flow.lookup is not None:
-                flow.lookup.hasten()
+                flow.lookup.reset_backoff()
 
     def send_queries(self, now: float) -> Outputs:
         """Sends the pending flow queries if the rate limit allows it."""
--- a/crocusmux/core/forward/liveness.py
+++ b/crocusmux/core/forward/liveness.py
@@ -12,14 +12,16 @@
 
 # Interval between two requests to an agent that does not reply.
 REQUEST_INTERVAL_S = 0.25
-# An agent that has left this many requests unanswered, and the first query or
-# request for this time, is lost.  A planned restart takes less, and the new agent
-# gets a request within one interval.  The time since the agent's last message
-# would not do: that may be one report interval (3.4 s) before the restart began.
+# An agent counts as lost once it has left MIN_REQUESTS requests unanswered and
+# UNANSWERED_TIMEOUT_S have passed since the first query or request that it did not
+# answer.  A planned restart takes less, and the new agent gets a request within one
+# interval.  The time does not count from the agent's last message, which may be one
+# report interval (3.4 s) older than the beginning of the restart.
 MIN_REQUESTS = 4
 UNANSWERED_TIMEOUT_S = upstreams.MIN_LOST_S + REQUEST_INTERVAL_S
-# A balancer that, of the agents from which it has heard within HEARD_BEFORE_S, has
-# not heard from half within HEARD_NOW_S, is probably cut off itself.
+# The balancer is probably cut off if it has heard from fewer than half of the
+# expected agents within HEARD_NOW_S.  Agents that were last heard from more than
+# HEARD_BEFORE_S ago are not counted.
 HEARD_NOW_S = upstreams.MIN_LOST_S
 HEARD_BEFORE_S = 60.0
 # Interval between two requests to an agent that counts as lost.
@@ -145,9 +147,9 @@
     def _cut_off(self, now: float) -> bool:
         """Returns True if the balancer hears from less than half of its agents.
 
-        Agents with long intervals between reports need not have been heard from
-        within the last seconds, so each counts by the share that is due.  More
-        than half that leave requests unanswered are as good a sign.
+        An agent with a report interval of more than HEARD_NOW_S is expected only
+        as HEARD_NOW_S / interval.  Also True if more than half of the agents have
+        left MIN_REQUESTS requests unanswered.
         """
         known = unanswered = 0
         expected = heard = 0.0
@@ -197,8 +199,9 @@
 def _ended_after_deletion(now: float, upstream: upstreams.Upstream) -> bool:
     """Returns True if an agent has ended after its record was deleted.
 
-    A late deletion by a former incarnation proves nothing, as the one that
-    reports may be restarting: it must be the record of the latter.
+    Only if the deleted record is of the incarnation that reports.  A late
+    deletion of a former incarnation's record proves nothing, as the agent may be
+    restarting.
     """
     if not upstream.gone_at or upstream.unanswered_requests < GONE_REQUESTS:
         return False
--- a/crocusmux/core/forward/placement.py
+++ b/crocusmux/core/forward/placement.py
@@ -312,6 +312,7 @@
             and route.repeatable
             and not flow.hedge_host
             and len(flow.offered_hosts) == 1
+            # Hosts without a free slot may get one more offer, and do not count.
             and 1 + len(flow.busy_hosts) - len(flow.full_hosts) < MAX_OFFERS
         )
 
--- a/crocusmux/core/forward/subscribers.py
+++ b/crocusmux/core/forward/subscribers.py
@@ -116,10 +116,11 @@
         return interval_s
 
     def newest_config_for(self, subscriber: Subscriber) -> tuple[int, str]:
-        """Returns the newest version; a newer one and its source if it lacks it.
+        """Returns a configuration version, and the address that serves it.
 
-        The source of the newest version may have ended, so reports name all
-        newer versions and sources in turn, the newest first.
+        If the subscriber has the newest version, that one and an empty address.
+        Otherwise successive calls return all versions that are newer than the
+        subscriber's in turn, the newest first, as a source may have ended.
         """
         newest = self.newest_config
         if newest[0] <= subscriber.config_version:
--- a/crocusmux/core/forward/subscriptions.py
+++ b/crocusmux/core/forward/subscriptions.py
@@ -82,7 +82,8 @@
         self._evacuated = evacuated
         # Times at which the agents of some domains are told again.
         self._evacuation_resends: list[tuple[float, set[str]]] = []
-        # Time of the last turn, which the age of an evacuation's end is from.
+        # Time of the last call of pop_due or tell_evacuations, seconds; the ages
+        # in DomainState refer to it.
         self._now = 0.0
         self._next_subscribe_at = 0.0
         self._next_resubscribe_at = 0.0
--- a/crocusmux/daemons/forward_agent.py
+++ b/crocusmux/daemons/forward_agent.py
@@ -116,6 +116,7 @@
             await process.wait_until(self._no_requests, DRAIN_TIMEOUT_S)
         else:
             limit_s = self._cfg.grace_s - agent_record.WITHDRAW_TIMEOUT_S
+            # The waits for pending input are part of the grace time.
             limit_s -= 2 * PENDING_INPUT_S
             if await self._wait_until_gone(limit_s):
                 await self._withdraw()
--- a/soak/rules.py
+++ b/soak/rules.py
@@ -211,7 +211,7 @@
             self.report("open-flow-reset", flow, f"holder={name} {age_s=:.2f}")
 
     def on_host_lost(self, service: str) -> None:
-        """Records that a host has ended without a word, for good."""
+        """Records that a host has ended without sending a message, for good."""
         self._host_lost_at[service] = self._now()
 
     def check_lost(self, found: Any) -> None:
@@ -249,7 +249,7 @@
         """Returns since when all hosts of a service have been back.
 
         Hosts that were removed in order, or that start for the first time, do
-        not count: they say goodbye, and hold no flow yet.
+        not count: their agents send Withdrawn, or they hold no flow yet.
         """
         back_at = [self._host_lost_at.get(service, 0.0)]
         for upstream in self._upstreams.values():
