Place an opening from a reused port that its holder declines

Change: the balancer keeps such an opening, and places it as a new flow when the holder declines it. A late copy of the former opening changes nothing.

--- a/crocusmux/core/forward/balancer.py
+++ b/crocusmux/core/forward/balancer.py
@@ -223,6 +223,8 @@
             if self._reuses_key(seg, flow):
                 self.flows.remove(seg.key)
                 return self._placement.on_new_flow(now, seg)
+            if flow.superseded_by(seg):
+                flow.new_opening = seg
             flow.record_opening(seg)
         sent: Outputs = []
         if not flow.open:
--- a/crocusmux/core/forward/flow_table.py
+++ b/crocusmux/core/forward/flow_table.py
@@ -30,6 +30,8 @@
         was_queued: True once the opening was queued at the balancer.
         opening_segment: The caller's SYN until the flow is open.
         opening_seq: Sequence number of that SYN; None without one here.
+        new_opening: A SYN that opens a new flow from the caller's port while this
+            one is open; None without one.
         opening_copies: Number of earlier copies of the newest SYN for an open
             flow; None if the caller has sent another segment since.
         last_segment: The newest segment while the holder is only assumed.
@@ -64,6 +66,7 @@
         "last_segment_at",
         "lookup",
         "marked_hosts",
+        "new_opening",
         "offered_at",
         "offered_hosts",
         "open",
@@ -91,6 +94,7 @@
         self.opening_segment: segments.Segment | None = None
         self.opening_seq: int | None = None
         self.opening_copies: int | None = None
+        self.new_opening: segments.Segment | None = None
         self.lookup: holder_lookup.HolderLookup | None = None
         self.last_segment: segments.Segment | None = None
         self.seq = 0
@@ -108,6 +112,7 @@
         """Updates the flow from a segment after the opening."""
         self.open = True
         self.opening_copies = None
+        self.new_opening = None
         self.seq = seg.seq
         self.ack = seg.ack
         self.data_sent = seg.length > 0
--- a/crocusmux/core/forward/placement.py
+++ b/crocusmux/core/forward/placement.py
@@ -423,6 +423,12 @@
         """Offers a declined flow to another upstream, or queues it."""
         flow = self._flows.get(message.key)
         detail = f"agent={message.host} reason={message.reason}"
+        declined = outputs.Event("declined", message.key, detail)
+        if flow is not None and self._declines_new_opening(message, flow):
+            seg = flow.new_opening
+            self._flows.remove(message.key)
+            self._record_decline(now, message)
+            return [declined, *self.on_new_flow(now, seg)] if seg else []
         if flow is None or flow.open or message.host not in flow.offered_hosts:
             return []
         if message.reason == reports.DECLINED_NO_FREE_SLOT:
@@ -440,7 +446,7 @@
             flow.busy_hosts.add(message.host)
         else:
             flow.declined_hosts.add(message.host)
-        sent: Outputs = [outputs.Event("declined", message.key, detail)]
+        sent: Outputs = [declined]
         if flow.hedge_host and flow.offered_hosts:
             # The other upstream still has the opening.  One more offer would
             # be a hedge beyond the limit.
@@ -450,6 +456,20 @@
             return sent
         return sent + self._place(now, flow.opening_segment, flow)
 
+    def _declines_new_opening(
+        self, message: reports.OpeningDeclined, flow: flow_table.Flow
+    ) -> bool:
+        """Returns True if a holder declines an opening from a reused port.
+
+        It has ended the former flow, or would have passed on a late copy of its
+        opening.
+        """
+        return (
+            flow.new_opening is not None
+            and flow.holder == message.host
+            and message.reason != reports.DECLINED_LATE
+        )
+
     def _record_decline(
         self, now: float, message: reports.OpeningDeclined
     ) -> None:
--- a/features/forward_balancer.feature
+++ b/features/forward_balancer.feature
@@ -853,6 +853,40 @@
       | 2000       |
       | 4000000000 |
 
+  # Guards against callers that are neither answered nor refused: the holder of the
+  # former flow drains, is full or is cold, and its decline was ignored as the
+  # balancer knew the former flow as open.
+  Scenario Outline: An opening from a reused port that the holder declines goes on
+    Given a balancer in abay with the agents a, b there and c, d in enbek
+    When a segment of an unknown flow to rounds arrives
+    And agent b replies that it holds the flow
+    And the caller opens another flow from the same port
+    And agent b declines that opening as <reason>
+    Then one agent other than b is offered the flow
+
+    Examples:
+      | reason     |
+      | leaving    |
+      | overload   |
+      | warming-up |
+
+  # Guards against an open flow that is forgotten because of a late copy.
+  Scenario Outline: A decline that is no reply to a new opening changes nothing
+    Given a balancer in abay with the agents a, b there and c, d in enbek
+    When a segment of an unknown flow to rounds arrives
+    And agent b replies that it holds the flow
+    And the caller opens another flow from the same port with sequence <seq>
+    And agent <host> declines that opening as <reason>
+    Then no segment is sent
+    When the caller sends 3 segments
+    Then they all go to agent b
+
+    Examples:
+      | seq  | host | reason       |
+      | 999  | b    | leaving      |
+      | 2000 | a    | leaving      |
+      | 2000 | b    | late-opening |
+
   # Guards against a late copy of the former opening that counts as a new flow.
   Scenario: A late copy of a flow's opening changes nothing at another balancer
     Given a balancer in abay with the agents a, b there and c, d in enbek
--- a/features/steps/evacuation_steps.py
+++ b/features/steps/evacuation_steps.py
@@ -112,6 +112,18 @@
     open_with(context, 2000, copies=1)
 
 
+@when("agent {host:w} declines that opening as {reason}")
+def decline_new(context, host, reason):
+    message = reports.OpeningDeclined(host, context.key, reason)
+    context.outs = context.core.on_message(context.now, message)
+
+
+@then("one agent other than {host:w} is offered the flow")
+def one_other(context, host):
+    (offered,) = balancer_sample.offered_hosts(context)
+    assert offered != host, offered
+
+
 @then("no agent in abay is offered the flow")
 def none_near(context):
     assert not {"a", "b"} & set(balancer_sample.offered_hosts(context))
