--- a/review/lib_2/fleet.py
+++ b/review/lib_2/fleet.py
@@ -32,14 +32,14 @@
         trouble: False to leave the disruption out.
     """
 
-    def __init__(self, folder: pathlib.Path, scratch: pathlib.Path) -> None:
+    def __init__(self, record: pathlib.Path, scratch: pathlib.Path) -> None:
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.rng = random.Random(1)
         self.endpoints: dict[str, endpoint.Endpoint] = {}
         self.agents: dict[str, daemon.Daemon] = {}
         self.balancers: list[daemon.Daemon] = []
         self._scratch = scratch
-        self._record = (folder / "record.txt").open("w", encoding="utf-8")
+        self._record = record.open("w", encoding="utf-8")
         self._now = asyncio.get_running_loop().time
         self._began = self._now()
         self._net, self._ports = _find_addresses()
@@ -218,15 +218,17 @@
 
 def run(case: str, play: Callable[[Fleet], Coroutine[Any, Any, int]]) -> None:
     """Plays a case and exits with its outcome."""
-    sys.exit(asyncio.run(_run(pathlib.Path(case).parent, play)))
+    path = pathlib.Path(case)
+    name = "record.txt" if path.stem == "case" else f"{path.stem}-record.txt"
+    sys.exit(asyncio.run(_run(path.with_name(name), play)))
 
 
 async def _run(
-    folder: pathlib.Path, play: Callable[[Fleet], Coroutine[Any, Any, int]]
+    record: pathlib.Path, play: Callable[[Fleet], Coroutine[Any, Any, int]]
 ) -> int:
     with tempfile.TemporaryDirectory() as scratch:
         kept = os.environ.get("KEEP_LOGS")
-        fleet = Fleet(folder, pathlib.Path(kept or scratch))
+        fleet = Fleet(record, pathlib.Path(kept or scratch))
         try:
             async with asyncio.timeout(LIMIT_S):
                 outcome = await play(fleet)
