--- a/review/lib_2/fleet.py
+++ b/review/lib_2/fleet.py
@@ -1,7 +1,7 @@
 """A small deployment on loopback addresses, and its record."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Mapping
 import os
 import pathlib
 import random
@@ -9,6 +9,7 @@
 import socket
 import sys
 import tempfile
+from types import MappingProxyType
 from typing import Any
 
 from review.lib_2 import consumer
@@ -104,9 +105,20 @@
         return fields
 
     async def start(
-        self, balancers: int, services: list[str], routes: list[dict[str, Any]]
+        self,
+        balancers: int,
+        services: list[str],
+        routes: list[dict[str, Any]],
+        clock_ahead_ms: Mapping[str, int] = MappingProxyType({}),
     ) -> None:
-        """Starts all, with one agent and endpoint for each service name."""
+        """Starts all, with one agent and endpoint for each service name.
+
+        Args:
+            balancers: Number of balancers.
+            services: Service of each endpoint.
+            routes: First desired state.
+            clock_ahead_ms: Machines whose time of day is ahead, and by how much.
+        """
         await self.store.start()
         self.set_config(1, routes)
         for number in range(1, balancers + 1):
@@ -120,6 +132,7 @@
         for node in [*self.balancers, *self.agents.values()]:
             await node.start()
         for each in self.endpoints.values():
+            each.clock_ahead_ms = clock_ahead_ms.get(each.name, 0)
             each.start()
         port = self._ports["data_addr"]
         self.router = consumer.Router(self.balancers, ips, port)
