--- a/review/10/case.py
+++ b/review/10/case.py
@@ -7,7 +7,7 @@
 from review.lib_2 import endpoint
 from review.lib_2 import fleet
 
-ADDRESS = ("198.18.0.1", 443)
+ADDRESS = ("127.254.0.1", 443)
 FLOWS = 24
 ENDPOINTS = 4
 BUDGET_S = 5.0
--- a/review/lib_2/fleet.py
+++ b/review/lib_2/fleet.py
@@ -23,6 +23,7 @@
 PORTS = ("data_addr", "readiness", "control", "outbound", "app", "messages")
 # Below the usual range of ephemeral ports.
 FIRST_PORT, LAST_PORT = 21_000, 30_000
+LOCK_PORT = 20_999
 LIMIT_S = 110.0
 
 
@@ -43,7 +44,8 @@
         self._record = record.open("w", encoding="utf-8")
         self._now = asyncio.get_running_loop().time
         self._began = self._now()
-        self._net, self._ports = _find_addresses()
+        # Keeps the addresses from other runs on this machine.
+        self._lock, self._net, self._ports = _find_addresses()
         self.store = store.Store((self._ip(3, 1), self._ports["control"]))
 
     def note(self, event: str, /, **fields: Any) -> None:
@@ -191,6 +193,7 @@
             *(x.end(signal.SIGKILL) for x in nodes if x.running())
         )
         self._record.close()
+        self._lock.close()
 
 
 def route(name: str, address: packet.Address, service: str) -> dict[str, Any]:
@@ -208,14 +211,21 @@
     }
 
 
-def _find_addresses() -> tuple[int, dict[str, int]]:
-    """Returns a second part of loopback addresses, and ports that are free."""
+def _find_addresses() -> tuple[socket.socket, int, dict[str, int]]:
+    """Returns a lock, a second part of loopback addresses, and free ports."""
     for offset in range(200):
         net = 20 + (os.getpid() + offset) % 200
+        lock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            lock.bind((f"127.{net}.254.254", LOCK_PORT))
+        except OSError:
+            lock.close()
+            continue
         first = random.SystemRandom().randrange(FIRST_PORT, LAST_PORT)
         ports = {name: first + n for n, name in enumerate(PORTS)}
         if all(_is_free(f"127.{net}.1.1", port) for port in ports.values()):
-            return net, ports
+            return lock, net, ports
+        lock.close()
     raise OSError("no free addresses")
 
 
--- a/review/more_2/config_entry.py
+++ b/review/more_2/config_entry.py
@@ -7,9 +7,9 @@
 from review.lib_2 import packet
 from review.lib_2 import web
 
-KEPT = ("198.18.0.1", 443)
-DROPPED = ("198.18.0.2", 443)
-ADDED = ("198.18.0.3", 443)
+KEPT = ("127.254.0.1", 443)
+DROPPED = ("127.254.0.2", 443)
+ADDED = ("127.254.0.3", 443)
 BUDGET_S = 3.0
 APPLY_S = 3.0
 REQUESTS = 20
--- a/review/more_2/former_service.py
+++ b/review/more_2/former_service.py
@@ -7,8 +7,8 @@
 from review.lib_2 import endpoint
 from review.lib_2 import fleet
 
-MOVED = ("198.18.0.1", 443)
-OTHER = ("198.18.0.2", 443)
+MOVED = ("127.254.0.1", 443)
+OTHER = ("127.254.0.2", 443)
 FLOWS = 24
 BUDGET_S = 6.0
 
--- a/review/more_2/removed_route.py
+++ b/review/more_2/removed_route.py
@@ -6,8 +6,8 @@
 from review.lib_2 import fleet
 from review.lib_2 import packet
 
-KEPT = ("198.18.0.1", 443)
-DROPPED = ("198.18.0.2", 443)
+KEPT = ("127.254.0.1", 443)
+DROPPED = ("127.254.0.2", 443)
 PORTS = 20
 BUDGET_S = 3.0
 APPLY_S = 3.0
